--- /dev/null
+++ b/packages/coordination/src/errors/index.ts
@@ -0,0 +1,2 @@
+/** Shapes of expected failures. */
+export type {CatalogueEntry, TypedError} from './definitions.js';
--- /dev/null
+++ b/xo.config.js
@@ -0,0 +1,31 @@
+/** @type {import('xo').FlatXoConfig} */
+const config = [
+	{
+		ignores: ['**/dist/**', '**/src/gen/**', '.tap/**', '**/tap-snapshots/**'],
+	},
+	{
+		files: ['packages/**/*.ts'],
+		rules: {
+			// Node.js callbacks and generated messages use undefined and null side by side.
+			'@typescript-eslint/no-restricted-types': 'off',
+			// Abbreviations that are terms of the field are spelled as the field spells them.
+			'unicorn/prevent-abbreviations': 'off',
+			// One task for each connection awaits its steps in order.
+			'no-await-in-loop': 'off',
+			// Generated names and wire constants.
+			'@typescript-eslint/naming-convention': 'off',
+			'capitalized-comments': 'off',
+			'n/prefer-global/process': ['error', 'always'],
+			'unicorn/no-process-exit': 'off',
+		},
+	},
+	{
+		files: ['packages/*/test/**/*.ts'],
+		rules: {
+			// Tap's `test` returns a promise that tap itself awaits.
+			'@typescript-eslint/no-floating-promises': 'off',
+		},
+	},
+];
+
+export default config;
