--- /dev/null
+++ b/packages/coordination/src/group/domain/confirmation-tracker.ts
@@ -0,0 +1,126 @@
+import {type MemberStatus} from '../definitions.js';
+import {majorityOf} from './log-position.js';
+
+/**
+ * - `confirmed`: a majority has the entry, in the term in which it was asked for.
+ * - `superseded`: the group has moved to another term, so the entry may be lost.
+ * - `timed-out`: not confirmed by the deadline.
+ */
+export type ConfirmationResult = 'confirmed' | 'superseded' | 'timed-out';
+
+type Waiter = {
+	index: number;
+	sinceMs: number;
+	settle: (result: ConfirmationResult) => void;
+};
+
+/**
+ * Follows which log entries a majority of the group has received.
+ *
+ * A member counts only while it is fenced at exactly the tracked term, has verified its log against
+ * that term's primary, and its last entry is of that term. Entries of older terms are thus confirmed
+ * only through an entry of the current term.
+ */
+export class ConfirmationTracker {
+	readonly #statuses = new Map<string, MemberStatus>();
+	#waiters: Waiter[] = [];
+	#term = 0;
+	#confirmedIndex = 0;
+
+	constructor(private readonly groupSize: number) {}
+
+	get term(): number {
+		return this.#term;
+	}
+
+	/** Highest confirmed index of the current term; 0 if none. */
+	get confirmedIndex(): number {
+		return this.#confirmedIndex;
+	}
+
+	/** Time at which the longest-waiting unconfirmed entry began to wait. */
+	get oldestWaitSinceMs(): number | undefined {
+		return this.#waiters.length === 0 ? undefined : Math.min(...this.#waiters.map(waiter => waiter.sinceMs));
+	}
+
+	/** Moves to a later established term; what waits for an older term is superseded. */
+	setTerm(term: number): void {
+		if (term <= this.#term) {
+			return;
+		}
+
+		this.#term = term;
+		this.#confirmedIndex = 0;
+		const superseded = this.#waiters;
+		this.#waiters = [];
+		for (const waiter of superseded) {
+			waiter.settle('superseded');
+		}
+
+		this.#advance();
+	}
+
+	report(status: MemberStatus): void {
+		this.#statuses.set(status.memberId, status);
+		this.#advance();
+	}
+
+	/** Forgets a member whose status is no longer known. What it confirmed stays confirmed. */
+	forget(memberId: string): void {
+		this.#statuses.delete(memberId);
+	}
+
+	isConfirmed(term: number, index: number): boolean {
+		return term === this.#term && index <= this.#confirmedIndex;
+	}
+
+	/**
+	 * Waits until `index` is confirmed in `term`.
+	 *
+	 * @param onTimeout - registers the caller's deadline; called once, returns how to cancel it.
+	 */
+	async waitFor({term, index, nowMs, onTimeout}: {term: number; index: number; nowMs: number; onTimeout: (expire: () => void) => () => void}): Promise<ConfirmationResult> {
+		if (this.isConfirmed(term, index)) {
+			return 'confirmed';
+		}
+
+		if (term < this.#term) {
+			return 'superseded';
+		}
+
+		return new Promise(resolve => {
+			const cancelTimeout = onTimeout(() => {
+				this.#waiters = this.#waiters.filter(other => other !== waiter);
+				resolve('timed-out');
+			});
+			const waiter: Waiter = {
+				index,
+				sinceMs: nowMs,
+				settle(result) {
+					cancelTimeout();
+					resolve(result);
+				},
+			};
+			this.#waiters.push(waiter);
+		});
+	}
+
+	#advance(): void {
+		const indexes = [...this.#statuses.values()]
+			.filter(({fencedTerm, verifiedTerm, received}) =>
+				fencedTerm === this.#term && verifiedTerm === this.#term && received.term === this.#term)
+			.map(({received}) => received.index)
+			.sort((a, b) => b - a);
+		const majorityIndex = indexes[majorityOf(this.groupSize) - 1] ?? 0;
+		if (majorityIndex <= this.#confirmedIndex) {
+			return;
+		}
+
+		this.#confirmedIndex = majorityIndex;
+		const reached = this.#waiters.filter(({index}) => index <= majorityIndex);
+		this.#waiters = this.#waiters.filter(({index}) => index > majorityIndex);
+		for (const waiter of reached) {
+			waiter.settle('confirmed');
+		}
+	}
+}
