Add the platform stand-in and HttpPlatform

Cause: the other parts need a platform over HTTP to run against. Change: dogwood-platform serves objects, watches and hosts with faults; HttpPlatform implements the port and tells refused calls from calls whose outcome is open; one contract suite runs against both implementations. MemoryPlatform can end waiting watches early. Conclusion: parts that use the platform can be built and fault-tested.

--- a/packages/coordination/src/platform/infra/memory-platform.ts
+++ b/packages/coordination/src/platform/infra/memory-platform.ts
@@ -60,6 +60,13 @@
 		return okAsync([...this.hostList]);
 	}
 
+	/** Ends waiting watches early, with an empty batch. */
+	interruptWatches(): void {
+		for (const waiter of this.#waiters) {
+			waiter.notify();
+		}
+	}
+
 	#write(kind: ObjectKind, name: string, value: string | undefined, expectedVersion: number): ResultAsync<number, PlatformError> {
 		const byName = this.#objects.get(kind) ?? new Map<string, Stored>();
 		const stored = byName.get(name);
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+/** The proxy's parts that other packages use. */
+export * from './platform/index.js';
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+/** Stand-ins of outside systems. */
+export * from './platform/index.js';
