Add the owner's side of the proxy: connections, monitors, execution

Cause: an owner must acknowledge only what a majority has, and keep each answer with its request. Change: connections to instances over Connect, one TCP connection each; monitors; pools by seat; writes, reads and transactions with confirmation; the promotion driver; links between proxies with batches. Conclusion: to be measured once the daemon is wired.

--- /dev/null
+++ b/packages/proxy/src/endpoint/infra/connect-endpoint-connector.ts
@@ -0,0 +1,159 @@
+import {create} from '@bufbuild/protobuf';
+import {type Client, createClient} from '@connectrpc/connect';
+import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {
+	type ControlReply, type FenceReply, type GroupMember, type TimerService,
+} from '@dogwoodthread/coordination';
+import {
+	EndpointService, HelloSchema, type MonitorRequest, MonitorRequestSchema,
+} from '@dogwoodthread/protocol';
+import {err, ok, type Result} from 'neverthrow';
+import {toLogPosition, toMemberStatus} from '../../wire/index.js';
+import {
+	type ConnectError, type ConnectionIdentity, type ControlError, type EndpointConnection, type EndpointConnector,
+	type EndpointMonitor, type StatusListener,
+} from '../definitions.js';
+import {AsyncQueue} from './async-queue.js';
+import {ConnectSession} from './connect-session.js';
+
+type Wire = {client: Client<typeof EndpointService>; sessionManager: Http2SessionManager};
+
+const unreachable = (message: string): ConnectError => ({kind: 'unreachable', message});
+
+/** Connections to instances over Connect and HTTP/2, one TCP connection each. */
+export class ConnectEndpointConnector implements EndpointConnector {
+	constructor(private readonly options: {timers: TimerService; controlTimeoutMs: number}) {}
+
+	async connect(address: string, identity: ConnectionIdentity, timeoutMs: number): Promise<Result<EndpointConnection, ConnectError>> {
+		return ConnectSession.open({...openWire(address), timers: this.options.timers}, identity, timeoutMs);
+	}
+
+	async monitor(address: string, identity: ConnectionIdentity, timeoutMs: number, listener: StatusListener): Promise<Result<EndpointMonitor, ConnectError>> {
+		const monitor = new ConnectMonitor(openWire(address), this.options.timers, listener);
+		const answered = await monitor.start(identity, timeoutMs);
+		return answered.map(() => monitor);
+	}
+
+	async fence({address}: GroupMember, term: number): Promise<Result<FenceReply, ControlError>> {
+		return this.#control(address, async client => {
+			const {accepted, fencedTerm, last} = await client.fence({term: BigInt(term)}, {timeoutMs: this.options.controlTimeoutMs});
+			return {accepted, fencedTerm: Number(fencedTerm), last: toLogPosition(last)};
+		});
+	}
+
+	async promote({address}: GroupMember, term: number): Promise<Result<ControlReply, ControlError>> {
+		return this.#control(address, async client => {
+			const {accepted, fencedTerm} = await client.promote({term: BigInt(term)}, {timeoutMs: this.options.controlTimeoutMs});
+			return {accepted, fencedTerm: Number(fencedTerm)};
+		});
+	}
+
+	async follow({address}: GroupMember, term: number, primary: GroupMember): Promise<Result<ControlReply, ControlError>> {
+		return this.#control(address, async client => {
+			const {accepted, fencedTerm} = await client.follow({
+				term: BigInt(term), primaryMemberId: primary.memberId, primaryAddress: primary.replicationAddress,
+			}, {timeoutMs: this.options.controlTimeoutMs});
+			return {accepted, fencedTerm: Number(fencedTerm)};
+		});
+	}
+
+	async #control<T>(address: string, call: (client: Wire['client']) => Promise<T>): Promise<Result<T, ControlError>> {
+		const {client, sessionManager} = openWire(address);
+		try {
+			return ok(await call(client));
+		} catch (error) {
+			return err({kind: 'unreachable', message: `${address} did not answer within ${this.options.controlTimeoutMs} ms; check the instance.`, cause: error});
+		} finally {
+			sessionManager.abort();
+		}
+	}
+}
+
+/** Status stream of one instance. One task reads the answers until the stream ends. */
+class ConnectMonitor implements EndpointMonitor {
+	readonly closed: Promise<void>;
+	readonly #requests = new AsyncQueue<MonitorRequest>();
+	readonly #askedAtMs = new Map<bigint, number>();
+	#nextPingId = 1n;
+	#settleClosed!: () => void;
+	#onFirst: (() => void) | undefined;
+
+	constructor(private readonly wire: Wire, private readonly timers: TimerService, private readonly listener: StatusListener) {
+		this.closed = new Promise(resolve => {
+			this.#settleClosed = resolve;
+		});
+	}
+
+	async start(identity: ConnectionIdentity, timeoutMs: number): Promise<Result<void, ConnectError>> {
+		const first = new Promise<'answered'>(resolve => {
+			this.#onFirst = () => {
+				resolve('answered');
+			};
+		});
+		const expired = new Promise<'expired'>(resolve => {
+			const deadline = this.timers.after(timeoutMs, () => {
+				resolve('expired');
+			});
+			this.#onFirst = chain(this.#onFirst, () => {
+				deadline.cancel();
+			});
+		});
+		this.#ask(identity);
+		void this.#readStatuses();
+		const outcome = await Promise.race([first, expired, this.closed]);
+		if (outcome === 'answered') {
+			return ok();
+		}
+
+		this.close();
+		return err(unreachable('The instance did not answer the monitor in time; check the instance.'));
+	}
+
+	ping(): void {
+		this.#ask();
+	}
+
+	close(): void {
+		this.#requests.close();
+		this.wire.sessionManager.abort();
+		this.#settleClosed();
+	}
+
+	#ask(identity?: ConnectionIdentity): void {
+		const pingId = this.#nextPingId;
+		this.#nextPingId += 1n;
+		this.#askedAtMs.set(pingId, this.timers.nowMs());
+		this.#requests.push(create(MonitorRequestSchema, {
+			pingId,
+			hello: identity && create(HelloSchema, {...identity, generation: BigInt(identity.generation)}),
+		}));
+	}
+
+	async #readStatuses(): Promise<void> {
+		try {
+			for await (const response of this.wire.client.monitor(this.#requests)) {
+				this.#onFirst?.();
+				this.#onFirst = undefined;
+				const askedAtMs = this.#askedAtMs.get(response.pingId);
+				this.#askedAtMs.delete(response.pingId);
+				this.listener(toMemberStatus(response), askedAtMs);
+			}
+		} catch {
+			// A cut stream is handled like an ended one.
+		}
+
+		this.close();
+	}
+}
+
+const chain = (first: (() => void) | undefined, second: () => void) => () => {
+	first?.();
+	second();
+};
+
+function openWire(address: string): Wire {
+	const baseUrl = `http://${address}`;
+	const sessionManager = new Http2SessionManager(baseUrl);
+	const transport = createConnectTransport({baseUrl, httpVersion: '2', sessionManager});
+	return {client: createClient(EndpointService, transport), sessionManager};
+}
--- /dev/null
+++ b/packages/proxy/src/owner/core/answer-release.ts
@@ -0,0 +1,57 @@
+import {
+	type ConfirmationResult, maxPosition, type SessionToken, zeroPosition,
+} from '@dogwoodthread/coordination';
+import {type ExecuteResponse} from '@dogwoodthread/protocol';
+import {type Completion} from '../../endpoint/index.js';
+import {done, unknown} from '../../outcome/index.js';
+import {type OwnerOptions} from '../definitions.js';
+import {type ExecutionContext} from './execution-context.js';
+import {type GroupState, type Instance} from './group-state.js';
+
+/** Holds answers back until a majority of the group has what they show or changed. */
+export class AnswerRelease {
+	constructor(private readonly options: OwnerOptions, private readonly state: GroupState) {}
+
+	/** Waits until the completion's position is confirmed in the term of the instance that gave it. */
+	async waitForConfirmation({position, verifiedTerm}: Completion, deadlineMs: number): Promise<ConfirmationResult> {
+		const {timers} = this.options;
+		const nowMs = timers.nowMs();
+		return this.state.tracker.waitFor({
+			term: verifiedTerm,
+			index: position.index,
+			nowMs,
+			onTimeout(expire) {
+				const subscription = timers.after(Math.max(0, deadlineMs - nowMs), expire);
+				return () => {
+					subscription.cancel();
+				};
+			},
+		});
+	}
+
+	/** Final answer to a write that completed at the primary. */
+	async releaseWrite(completion: Completion, context: ExecutionContext, instance: Instance): Promise<ExecuteResponse> {
+		const result = await this.waitForConfirmation(completion, context.deadlineMs);
+		if (result === 'confirmed') {
+			return this.buildDone(completion, context.token, instance);
+		}
+
+		return unknown(result === 'superseded' ? 'term-changed' : 'confirmation-timeout', context.request.requestKey);
+	}
+
+	/** Builds the answer with a token that never lies behind the session's own. */
+	buildDone(completion: Completion, token: SessionToken | undefined, {member, monitor}: Instance): ExecuteResponse {
+		const {database, tokens} = this.options;
+		const byReplica = this.state.lastPrimary?.member.memberId !== member.memberId;
+		const {status} = monitor.health;
+		return done({
+			rows: completion.rows,
+			statementError: completion.statementError,
+			sessionToken: tokens.encode({database, ...maxPosition(completion.position, token ?? zeroPosition)}),
+			repeated: completion.repeated,
+			servedBy: member.memberId,
+			byReplica,
+			ageBoundMs: byReplica && status ? Math.ceil(this.state.ageBoundMs(status) ?? 0) : 0,
+		});
+	}
+}
--- /dev/null
+++ b/packages/proxy/src/owner/core/member-monitor.ts
@@ -0,0 +1,118 @@
+import {type GroupMember, type MemberStatus, type TimerSubscription} from '@dogwoodthread/coordination';
+import {type EndpointMonitor, monitorIndexBase} from '../../endpoint/index.js';
+import {type MemberHealth, type OwnerOptions} from '../definitions.js';
+
+/** Interval of pings; bounds how old the known position of a member is. */
+export const pingIntervalMs = 200;
+
+/** Time without an answer after which the stream counts as silent and a fresh one is opened beside it. */
+const silentMs = 600;
+
+const reconnectDelayMs = 100;
+
+export type MonitorListener = (member: GroupMember, status: MemberStatus, askedAtMs: number | undefined) => void;
+
+/** Keeps a status stream to one instance. One task for the life of the owner. */
+export class MemberMonitor {
+	readonly health: MemberHealth = {
+		status: undefined, unreachableSinceMs: undefined, contactLostSinceMs: undefined, monitorUp: false,
+	};
+
+	#stopped = false;
+	#lastAnswerMs = 0;
+	#current: EndpointMonitor | undefined;
+	#pings: TimerSubscription | undefined;
+
+	constructor(
+		private readonly options: Pick<OwnerOptions, 'connector' | 'timers' | 'policy' | 'database' | 'seat' | 'hostId' | 'logger'>,
+		private readonly member: GroupMember,
+		private readonly listener: MonitorListener,
+		private readonly onDown: (member: GroupMember) => void,
+	) {}
+
+	/** Runs until `stop`. */
+	async run(): Promise<void> {
+		while (!this.#stopped) {
+			const monitor = await this.#open();
+			if (!monitor) {
+				await this.options.timers.sleep(reconnectDelayMs);
+				continue;
+			}
+
+			await this.#follow(monitor);
+		}
+	}
+
+	stop(): void {
+		this.#stopped = true;
+		this.#pings?.cancel();
+		this.#current?.close();
+	}
+
+	async #open(): Promise<EndpointMonitor | undefined> {
+		const {connector, policy, timers, database, seat, hostId, logger} = this.options;
+		const opened = await connector.monitor(
+			this.member.address,
+			{
+				database, rank: seat.rank, generation: seat.generation, index: monitorIndexBase, hostId,
+			},
+			policy.connectTimeoutMs,
+			(status, askedAtMs) => {
+				this.#accept(status, askedAtMs);
+			},
+		);
+		if (opened.isOk()) {
+			if (this.health.unreachableSinceMs !== undefined) {
+				logger.info({event: 'instance-reachable', memberId: this.member.memberId});
+			}
+
+			this.health.unreachableSinceMs = undefined;
+			return opened.value;
+		}
+
+		if (this.health.unreachableSinceMs === undefined) {
+			logger.warn({event: 'instance-unreachable', memberId: this.member.memberId, reason: opened.error.message});
+			this.health.unreachableSinceMs = timers.nowMs();
+		}
+
+		this.#markDown();
+		return undefined;
+	}
+
+	async #follow(monitor: EndpointMonitor): Promise<void> {
+		const {timers, logger} = this.options;
+		this.#current?.close();
+		this.#current = monitor;
+		this.health.monitorUp = true;
+		this.#lastAnswerMs = timers.nowMs();
+		const silent = new Promise<void>(resolve => {
+			this.#pings = timers.every(pingIntervalMs, () => {
+				monitor.ping();
+				if (timers.nowMs() - this.#lastAnswerMs > silentMs) {
+					logger.warn({event: 'monitor-silent', memberId: this.member.memberId});
+					resolve();
+				}
+			});
+		});
+		await Promise.race([silent, monitor.closed]);
+		this.#pings?.cancel();
+	}
+
+	#accept(status: MemberStatus, askedAtMs: number | undefined): void {
+		const nowMs = this.options.timers.nowMs();
+		this.#lastAnswerMs = nowMs;
+		this.health.status = status;
+		const lost = status.role === 'replica' && !status.primaryContact;
+		this.health.contactLostSinceMs = lost ? this.health.contactLostSinceMs ?? nowMs : undefined;
+		this.listener(this.member, status, askedAtMs);
+	}
+
+	#markDown(): void {
+		if (this.health.monitorUp || this.health.status) {
+			this.health.monitorUp = false;
+			this.health.status = undefined;
+			this.health.contactLostSinceMs = undefined;
+			this.onDown(this.member);
+		}
+	}
+}
--- /dev/null
+++ b/packages/proxy/src/peer/core/peer-clients.ts
@@ -0,0 +1,118 @@
+import {type Client, createClient} from '@connectrpc/connect';
+import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {type GroupRecord, type TimerService, type VersionedOwnership} from '@dogwoodthread/coordination';
+import {
+	type ExecuteRequest, PeerService, type TransactRequest, type TransactResponse,
+} from '@dogwoodthread/protocol';
+import {
+	type ForwardResult, type PeerLinks, type PeerOwnership, type PeerQueries,
+} from '../definitions.js';
+import {ForwardLink} from './forward-link.js';
+import {fromOwnershipMessage, toOwnershipMessage} from './ownership-messages.js';
+
+type Peer = {
+	client: Client<typeof PeerService>;
+	sessionManager: Http2SessionManager;
+	link: ForwardLink | undefined;
+};
+
+/** HTTP/2 pings notice a connection that went silent without being closed. */
+const pingIntervalMs = 1000;
+const pingTimeoutMs = 1000;
+
+/** A connection without requests is closed after this time, so that few stay open in a large fleet. */
+const idleTimeoutMs = 60_000;
+
+/** Connections to other proxies, opened at need. */
+export class PeerClients implements PeerLinks, PeerQueries {
+	readonly #peers = new Map<string, Peer>();
+
+	constructor(private readonly options: {timers: TimerService; connectTimeoutMs: number; queryTimeoutMs: number}) {}
+
+	async forward(peerAddress: string, request: ExecuteRequest): Promise<ForwardResult> {
+		const peer = this.#peer(peerAddress);
+		// A request that is written to a stream of a connection that never came up may not be told from a
+		// lost one, so the connection comes first.
+		if (!await this.#connect(peer)) {
+			return {kind: 'not-sent'};
+		}
+
+		if (!peer.link?.usable) {
+			peer.link = new ForwardLink(peer.client, this.options.timers, () => {
+				peer.link = undefined;
+			});
+		}
+
+		return peer.link.forward(request);
+	}
+
+	transact(peerAddress: string, steps: AsyncIterable<TransactRequest>): AsyncIterable<TransactResponse> {
+		return this.#peer(peerAddress).client.transact(steps);
+	}
+
+	async getOwnership(peerAddress: string, database: string): Promise<PeerOwnership | undefined> {
+		return this.#query(peerAddress, async client => fromOwnershipMessage(
+			await client.getOwnership({database}, {timeoutMs: this.options.queryTimeoutMs}),
+		));
+	}
+
+	async announceOwnership(peerAddress: string, ownership: VersionedOwnership, group: GroupRecord | undefined): Promise<void> {
+		await this.#query(peerAddress, async client => {
+			await client.ownershipChanged(toOwnershipMessage(ownership.record.database, ownership, group), {timeoutMs: this.options.queryTimeoutMs});
+		});
+	}
+
+	async observeEndpoint(peerAddress: string, question: {database: string; memberId: string; address: string; timeoutMs: number}): Promise<boolean | undefined> {
+		return this.#query(peerAddress, async client => {
+			const {reachable} = await client.observeEndpoint(question, {timeoutMs: question.timeoutMs + this.options.queryTimeoutMs});
+			return reachable;
+		});
+	}
+
+	/** For calls that have no method of their own here. */
+	clientOf(peerAddress: string): Client<typeof PeerService> {
+		return this.#peer(peerAddress).client;
+	}
+
+	close(): void {
+		for (const {link, sessionManager} of this.#peers.values()) {
+			link?.close();
+			sessionManager.abort();
+		}
+
+		this.#peers.clear();
+	}
+
+	#peer(peerAddress: string): Peer {
+		const known = this.#peers.get(peerAddress);
+		if (known) {
+			return known;
+		}
+
+		const baseUrl = `http://${peerAddress}`;
+		const sessionManager = new Http2SessionManager(baseUrl, {pingIntervalMs, pingTimeoutMs, idleConnectionTimeoutMs: idleTimeoutMs});
+		const transport = createConnectTransport({baseUrl, httpVersion: '2', sessionManager});
+		const peer = {client: createClient(PeerService, transport), sessionManager, link: undefined};
+		this.#peers.set(peerAddress, peer);
+		return peer;
+	}
+
+	async #connect({sessionManager}: Peer): Promise<boolean> {
+		if (sessionManager.state() === 'open') {
+			return true;
+		}
+
+		const expired = this.options.timers.sleep(this.options.connectTimeoutMs);
+		const state = await Promise.race([sessionManager.connect(), expired]);
+		return state === 'open' || state === 'idle';
+	}
+
+	async #query<T>(peerAddress: string, call: (client: Client<typeof PeerService>) => Promise<T>): Promise<T | undefined> {
+		try {
+			return await call(this.#peer(peerAddress).client);
+		} catch {
+			return undefined;
+		}
+	}
+}
+
--- /dev/null
+++ b/packages/proxy/src/settings/index.ts
@@ -0,0 +1,3 @@
+/** Settings of the proxy: schema, defaults and loading. */
+export {proxySettingsSchema, type ProxySettings, type SettingsError} from './definitions.js';
+export {loadSettings} from './load-settings.js';
--- a/xo.config.js
+++ b/xo.config.js
@@ -17,6 +17,11 @@
 			'capitalized-comments': 'off',
 			'n/prefer-global/process': ['error', 'always'],
 			'unicorn/no-process-exit': 'off',
+			// `TimerService.every` is taken for the array method of that name.
+			'unicorn/no-array-callback-reference': 'off',
+			'unicorn/no-array-method-this-argument': 'off',
+			// A package's index exports folders that may hold types only for the time being.
+			'@typescript-eslint/consistent-type-exports': 'off',
 		},
 	},
 	{
