Add fair and first-in-first-out admission and retry budgets

Cause: the proxy needs a policy that decides which request runs next at an instance, and a bound on retries. Change: FairAdmission (classes stated or learned, adaptive concurrency limit, deficit round robin, deadline-aware queue, ramp after a pause), FifoAdmission as baseline, RetryBudget and jittered retry times.

--- /dev/null
+++ b/packages/coordination/src/admission/core/fair-admission.ts
@@ -0,0 +1,299 @@
+import {err, ok, type Result} from 'neverthrow';
+import {type RandomSource} from '../../retry-budget/index.js';
+import {type TimerService, type TimerSubscription} from '../../timer/index.js';
+import {
+	type AdmissionLimits, type AdmissionRequest, type AdmissionStats, type ObservableAdmission, type Permit, type Refusal,
+	type RefusalKind, type WorkClass, type WorkResult,
+} from '../definitions.js';
+import {AdmissionStatistics} from '../domain/admission-statistics.js';
+import {expireAt} from '../domain/expiry.js';
+import {type QueuedWork} from '../domain/queued-work.js';
+import {finalRefusal, refusal} from '../domain/refusals.js';
+import {ServiceTimes} from '../domain/service-times.js';
+import {SlotAllocation, type RunningCounts} from '../domain/slot-allocation.js';
+import {WorkClassifier} from '../domain/work-classifier.js';
+import {WorkQueues} from '../domain/work-queues.js';
+
+export type FairAdmissionOptions = {
+	timers: TimerService;
+	limits: AdmissionLimits;
+	random: RandomSource;
+	classifier?: WorkClassifier;
+};
+
+/**
+ * Share of the requests that run although their expected service time is over their deadline, since
+ * an estimate that became too high is only corrected by further runs.
+ */
+const probeShare = 0.05;
+/** Retry time base while paused, in ms: a tenth of the bound for a primary change at today's sizes. */
+const pausedRetryMs = 300;
+/** With one slot, long work is served at the latest after this many other requests. */
+const maxLongPassedOver = 4;
+
+/** Admission with work classes, fairness between callers and a queue that knows deadlines. */
+export class FairAdmission implements ObservableAdmission {
+	readonly #classifier: WorkClassifier;
+	readonly #slots: SlotAllocation;
+	readonly #queues: WorkQueues;
+	readonly #times = new ServiceTimes();
+	readonly #statistics = new AdmissionStatistics();
+	readonly #running: RunningCounts = {long: 0, other: 0};
+	#state: 'open' | 'paused' | 'closed' = 'open';
+	#ramp: TimerSubscription | undefined;
+	#longPassedOver = 0;
+
+	constructor(private readonly options: FairAdmissionOptions) {
+		this.#classifier = options.classifier ?? new WorkClassifier();
+		this.#slots = new SlotAllocation(options.limits);
+		this.#queues = new WorkQueues(this.#slots.limits.queueLength);
+	}
+
+	get queued(): number {
+		return this.#queues.length;
+	}
+
+	get running(): number {
+		return this.#running.long + this.#running.other;
+	}
+
+	async admit(request: AdmissionRequest): Promise<Result<Permit, Refusal>> {
+		const nowMs = this.options.timers.nowMs();
+		const workClass = this.#classifier.classify(request.statementName, request.workClass);
+		if (Number.isNaN(request.deadlineMs)) {
+			return this.#refuseFinally(workClass, 'invalid-request');
+		}
+
+		if (request.deadlineMs <= nowMs) {
+			return this.#refuseFinally(workClass, 'deadline-cannot-be-met');
+		}
+
+		const estimateMs = this.#classifier.estimateMs(request.statementName) ?? this.#times.meanMs(workClass);
+		if (this.#canStartNow(workClass, nowMs)) {
+			return this.#isHopeless(workClass, estimateMs, request.deadlineMs - nowMs)
+				? this.#refuse(workClass, 'deadline-cannot-be-met')
+				: ok(this.#start(request, workClass, nowMs, nowMs));
+		}
+
+		return this.#enqueue(request, workClass, estimateMs, nowMs);
+	}
+
+	setLimits(limits: AdmissionLimits): void {
+		this.#slots.setLimits(limits);
+		this.#queues.maxLength = this.#slots.limits.queueLength;
+		this.#dispatch();
+	}
+
+	pause(): void {
+		if (this.#state === 'open') {
+			this.#state = 'paused';
+			this.#ramp?.cancel();
+		}
+	}
+
+	resume(rampMs: number): void {
+		if (this.#state !== 'paused') {
+			return;
+		}
+
+		this.#state = 'open';
+		this.#slots.startRamp(this.options.timers.nowMs(), rampMs);
+		this.#dispatch();
+		if (rampMs > 0) {
+			this.#followRamp(rampMs / this.#slots.limits.slots, rampMs);
+		}
+	}
+
+	close(): void {
+		this.#state = 'closed';
+		this.#ramp?.cancel();
+		for (const work of this.#queues.values()) {
+			this.#dropQueued(work, 'paused');
+		}
+	}
+
+	stats(): AdmissionStats {
+		return this.#statistics.snapshot(this.#slots.currentLimit(this.options.timers.nowMs()));
+	}
+
+	#canStartNow(workClass: WorkClass, nowMs: number): boolean {
+		if (this.#state !== 'open') {
+			return false;
+		}
+
+		return workClass === 'long'
+			? this.#queues.of('long').length === 0 && this.#slots.canStartLong(this.#running, nowMs)
+			: this.#queues.otherLength === 0 && this.#slots.canStartOther(this.#running, nowMs);
+	}
+
+	/** Whether the work would not finish in time; an idle pool and a small share of probes try anyway. */
+	#isHopeless(workClass: WorkClass, neededMs: number, leftMs: number): boolean {
+		const idle = (workClass === 'long' ? this.#running.long : this.#running.other) === 0;
+		return neededMs > leftMs && !idle && this.options.random() >= probeShare;
+	}
+
+	async #enqueue(request: AdmissionRequest, workClass: WorkClass, estimateMs: number, nowMs: number): Promise<Result<Permit, Refusal>> {
+		if (this.#state === 'closed') {
+			return this.#refuse(workClass, 'paused');
+		}
+
+		const waitMs = this.#state === 'paused' ? 0 : this.#waitMs(workClass, this.#queues.ahead(workClass, request.callerId), nowMs);
+		if (waitMs + estimateMs > request.deadlineMs - nowMs) {
+			return this.#refuse(workClass, 'deadline-cannot-be-met');
+		}
+
+		const {fits, displaced} = this.#queues.roomFor(workClass, request.callerId);
+		if (displaced) {
+			this.#settleRefused(displaced, 'overloaded');
+		}
+
+		if (!fits) {
+			return this.#refuse(workClass, this.#state === 'paused' ? 'paused' : 'overloaded');
+		}
+
+		return new Promise(resolve => {
+			const work: QueuedWork = {
+				request, workClass, estimateMs, queuedAtMs: nowMs, expiry: undefined, settle: resolve,
+			};
+			work.expiry = expireAt(this.options.timers, request.deadlineMs - estimateMs, () => {
+				this.#dropQueued(work, this.#state === 'paused' ? 'paused' : 'deadline-cannot-be-met');
+			});
+			this.#queues.add(work);
+			this.#statistics.of(workClass).queued += 1;
+		});
+	}
+
+	/** Expected time until `ahead` requests and one that runs have given their slots back. */
+	#waitMs(workClass: WorkClass, ahead: number, nowMs: number): number {
+		const slots = workClass === 'long'
+			? this.#slots.longCap(nowMs)
+			: this.#slots.otherSlots(nowMs, this.#running.long + this.#queues.of('long').length);
+		return ((ahead + 1) * this.#times.meanMs(workClass)) / slots;
+	}
+
+	#dispatch(): void {
+		const nowMs = this.options.timers.nowMs();
+		while (this.#state === 'open') {
+			const work = this.#takeNext(nowMs);
+			if (!work) {
+				return;
+			}
+
+			this.#startQueued(work, nowMs);
+		}
+	}
+
+	#takeNext(nowMs: number): QueuedWork | undefined {
+		const longWaits = this.#queues.of('long').length > 0 && this.#slots.canStartLong(this.#running, nowMs);
+		const otherWaits = this.#queues.otherLength > 0 && this.#slots.canStartOther(this.#running, nowMs);
+		// With one slot both pools share it; otherwise long work cannot take more than its own slots.
+		const otherFirst = otherWaits && this.#slots.limits.slots === 1 && this.#longPassedOver < maxLongPassedOver;
+		if (longWaits && !otherFirst) {
+			this.#longPassedOver = 0;
+			return this.#queues.nextLong(this.#times.meanMs('long'));
+		}
+
+		this.#longPassedOver += longWaits ? 1 : 0;
+		return otherWaits ? this.#queues.nextOther(this.#times.meanMs('short')) : undefined;
+	}
+
+	#startQueued(work: QueuedWork, nowMs: number): void {
+		this.#statistics.of(work.workClass).queued -= 1;
+		const {request, queuedAtMs} = work;
+		const workClass = this.#classifier.classify(request.statementName, request.workClass);
+		if (workClass === 'long' && work.workClass !== 'long') {
+			// The statement proved long while this request waited.
+			work.workClass = 'long';
+			this.#queues.add(work);
+			this.#statistics.of('long').queued += 1;
+			return;
+		}
+
+		work.expiry?.cancel();
+		if (this.#isHopeless(work.workClass, this.#neededMs(work), request.deadlineMs - nowMs)) {
+			this.#settleRefused(work, 'deadline-cannot-be-met', 0);
+			return;
+		}
+
+		work.settle(ok(this.#start(request, work.workClass, queuedAtMs, nowMs)));
+	}
+
+	/** Cautious service time, but at most half of the whole time that the caller gave, or the mean. */
+	#neededMs({request, estimateMs, queuedAtMs}: QueuedWork): number {
+		const meanMs = this.#classifier.estimateMs(request.statementName) ?? estimateMs;
+		const cautiousMs = this.#classifier.cautiousEstimateMs(request.statementName) ?? estimateMs;
+		return Math.max(meanMs, Math.min(cautiousMs, (request.deadlineMs - queuedAtMs) / 2));
+	}
+
+	#start(request: AdmissionRequest, workClass: WorkClass, queuedAtMs: number, nowMs: number): Permit {
+		const pool = workClass === 'long' ? 'long' : 'other';
+		this.#running[pool] += 1;
+		this.#statistics.onAdmitted(workClass, nowMs - queuedAtMs);
+		let released = false;
+		return {
+			workClass,
+			queuedMs: nowMs - queuedAtMs,
+			release: result => {
+				if (!released) {
+					released = true;
+					this.#running[pool] -= 1;
+					this.#onRelease(request.statementName, workClass, result, nowMs);
+				}
+			},
+		};
+	}
+
+	#onRelease(statementName: string, workClass: WorkClass, result: WorkResult, startedMs: number): void {
+		const nowMs = this.options.timers.nowMs();
+		this.#statistics.of(workClass).running -= 1;
+		if (result === 'completed') {
+			this.#classifier.observe(statementName, nowMs - startedMs);
+			this.#times.observe(workClass, nowMs - startedMs);
+		}
+
+		// Long statements vary too much to say something of the instance.
+		if (workClass !== 'long') {
+			const {slowdown, usualMs} = this.#classifier;
+			this.#slots.onRelease({
+				result, slowdown, usualMs, nowMs,
+			});
+		}
+
+		this.#dispatch();
+	}
+
+	/** Lets queued work in at each step of the ramp, also when nothing is released. */
+	#followRamp(stepMs: number, leftMs: number): void {
+		this.#ramp = this.options.timers.after(stepMs, () => {
+			this.#dispatch();
+			if (leftMs > 0) {
+				this.#followRamp(stepMs, leftMs - stepMs);
+			}
+		});
+	}
+
+	#dropQueued(work: QueuedWork, kind: RefusalKind): void {
+		if (this.#queues.remove(work)) {
+			this.#settleRefused(work, kind);
+		}
+	}
+
+	#settleRefused(work: QueuedWork, kind: RefusalKind, queuedChange = -1): void {
+		work.expiry?.cancel();
+		this.#statistics.of(work.workClass).queued += queuedChange;
+		work.settle(this.#refuse(work.workClass, kind));
+	}
+
+	#refuse(workClass: WorkClass, kind: RefusalKind): Result<Permit, Refusal> {
+		this.#statistics.onRefused(workClass, kind);
+		const drainMs = kind === 'paused'
+			? pausedRetryMs
+			: this.#waitMs(workClass, workClass === 'long' ? this.#queues.of('long').length : this.#queues.otherLength, this.options.timers.nowMs());
+		return err(refusal(kind, drainMs, this.options.random));
+	}
+
+	#refuseFinally(workClass: WorkClass, kind: RefusalKind): Result<Permit, Refusal> {
+		this.#statistics.onRefused(workClass, kind);
+		return err(finalRefusal(kind));
+	}
+}
--- a/packages/coordination/src/admission/definitions.ts
+++ b/packages/coordination/src/admission/definitions.ts
@@ -63,3 +63,28 @@
 	/** Refuses everything that is queued. */
 	close(): void;
 };
+
+/** Counters since the start and gauges of one work class. */
+export type ClassStats = {
+	admitted: number;
+	refused: Record<RefusalKind, number>;
+	queued: number;
+	running: number;
+	/** Admitted requests by time in the queue; bounds in `AdmissionStats.queueWaitBoundsMs`, not cumulative. */
+	queueWaitBuckets: number[];
+	queueWaitSumMs: number;
+};
+
+/** Snapshot for metrics. */
+export type AdmissionStats = {
+	/** Statements that the instance is given at the same time at present. */
+	limit: number;
+	/** Upper bounds in ms; one bucket more holds what is over the last. */
+	queueWaitBoundsMs: readonly number[];
+	classes: Record<WorkClass, ClassStats>;
+};
+
+/** An admission that reports its counters. */
+export type ObservableAdmission = Admission & {
+	stats(): AdmissionStats;
+};
--- /dev/null
+++ b/packages/coordination/src/admission/domain/class-queue.ts
@@ -0,0 +1,126 @@
+import {type QueuedWork} from './queued-work.js';
+
+type CallerQueue = {
+	callerId: string;
+	work: Set<QueuedWork>;
+	deficitMs: number;
+};
+
+/** A statement counts for at most this many quanta, which bounds the rounds that one choice takes. */
+const maxCostQuanta = 8;
+
+/**
+ * Queue of one work class: deficit round robin between callers by expected service time, first in
+ * first out for each caller. Holds an entry only for callers with queued work.
+ */
+export class ClassQueue {
+	/** In the order of the round; the first caller is served next. */
+	readonly #callers = new Map<string, CallerQueue>();
+	/** Callers by the length of their queue, to find the longest one without a scan. */
+	readonly #callersByLength = new Map<number, Set<CallerQueue>>();
+	#longest = 0;
+	#length = 0;
+
+	get length(): number {
+		return this.#length;
+	}
+
+	/** Length of the longest queue of a caller. */
+	get longestCallerLength(): number {
+		return this.#longest;
+	}
+
+	get callerCount(): number {
+		return this.#callers.size;
+	}
+
+	callerLength(callerId: string): number {
+		return this.#callers.get(callerId)?.work.size ?? 0;
+	}
+
+	add(work: QueuedWork): void {
+		let caller = this.#callers.get(work.request.callerId);
+		if (!caller) {
+			caller = {callerId: work.request.callerId, work: new Set(), deficitMs: 0};
+			this.#callers.set(caller.callerId, caller);
+		}
+
+		caller.work.add(work);
+		this.#length += 1;
+		this.#moveLength(caller, caller.work.size - 1);
+	}
+
+	remove(work: QueuedWork): boolean {
+		const caller = this.#callers.get(work.request.callerId);
+		if (!caller?.work.delete(work)) {
+			return false;
+		}
+
+		this.#length -= 1;
+		this.#moveLength(caller, caller.work.size + 1);
+		if (caller.work.size === 0) {
+			this.#callers.delete(caller.callerId);
+		}
+
+		return true;
+	}
+
+	/** Takes the next request. `quantumMs` is what a caller gets in each round. */
+	next(quantumMs: number): QueuedWork | undefined {
+		const quantum = Math.max(0.001, quantumMs);
+		for (;;) {
+			const [caller] = this.#callers.values();
+			const [work] = caller?.work ?? [];
+			if (!caller || !work) {
+				return undefined;
+			}
+
+			const costMs = Math.min(Math.max(work.estimateMs, quantum / 4), quantum * maxCostQuanta);
+			if (caller.deficitMs >= costMs) {
+				caller.deficitMs -= costMs;
+				this.remove(work);
+				return work;
+			}
+
+			// The turn ends: the caller moves to the end of the round with what it has saved.
+			caller.deficitMs += quantum;
+			this.#callers.delete(caller.callerId);
+			this.#callers.set(caller.callerId, caller);
+		}
+	}
+
+	/** Takes the newest request of the caller with the most queued requests. */
+	takeFromLongest(): QueuedWork | undefined {
+		const [caller] = this.#callersByLength.get(this.#longest) ?? [];
+		const work = caller && [...caller.work].at(-1);
+		if (work) {
+			this.remove(work);
+		}
+
+		return work;
+	}
+
+	values(): QueuedWork[] {
+		return [...this.#callers.values()].flatMap(({work}) => [...work]);
+	}
+
+	#moveLength(caller: CallerQueue, before: number): void {
+		const after = caller.work.size;
+		const left = this.#callersByLength.get(before);
+		left?.delete(caller);
+		if (left?.size === 0) {
+			this.#callersByLength.delete(before);
+		}
+
+		if (after > 0) {
+			const joined = this.#callersByLength.get(after) ?? new Set();
+			joined.add(caller);
+			this.#callersByLength.set(after, joined);
+		}
+
+		this.#longest = Math.max(this.#longest, after);
+		if (this.#longest > 0 && !this.#callersByLength.has(this.#longest)) {
+			this.#longest -= 1;
+		}
+	}
+}
--- a/packages/coordination/src/admission/index.ts
+++ b/packages/coordination/src/admission/index.ts
@@ -1,4 +1,8 @@
 /** Admission of work at an instance: ports and policies. */
 export type {
-	Admission, AdmissionLimits, AdmissionRequest, Permit, Refusal, RefusalKind, WorkClass, WorkResult,
+	Admission, AdmissionLimits, AdmissionRequest, AdmissionStats, ClassStats, ObservableAdmission, Permit, Refusal,
+	RefusalKind, WorkClass, WorkResult,
 } from './definitions.js';
+export {FairAdmission, type FairAdmissionOptions} from './core/fair-admission.js';
+export {FifoAdmission, type FifoAdmissionOptions} from './core/fifo-admission.js';
+export {WorkClassifier, type WorkClassifierOptions} from './domain/work-classifier.js';
--- /dev/null
+++ b/packages/coordination/src/retry-budget/domain/retry-budget.ts
@@ -0,0 +1,56 @@
+import {type RetryBudgetOptions} from '../definitions.js';
+
+/**
+ * Token buckets, one for each caller and database, that successes refill. Limits retries to a share
+ * of the successful requests, so that retries do not multiply the load when most requests fail.
+ */
+export class RetryBudget {
+	readonly #tokens = new Map<string, number>();
+	readonly #maxEntries: number;
+
+	constructor(private readonly options: RetryBudgetOptions) {
+		this.#maxEntries = options.maxEntries ?? 4096;
+	}
+
+	/** Pairs of caller and database known at present. */
+	get size(): number {
+		return this.#tokens.size;
+	}
+
+	onSuccess(callerId: string, database: string): void {
+		const key = keyOf(callerId, database);
+		const tokens = this.#tokens.get(key);
+		// A pair without an entry has a full bucket.
+		if (tokens !== undefined) {
+			this.#store(key, tokens + this.options.ratio);
+		}
+	}
+
+	/** Takes a token if there is one; false means that the request must not be retried. */
+	tryRetry(callerId: string, database: string): boolean {
+		const key = keyOf(callerId, database);
+		const tokens = this.#tokens.get(key) ?? this.options.burst;
+		// The tolerance covers the rounding of sums of the ratio.
+		if (tokens < 1 - 1e-9) {
+			return false;
+		}
+
+		this.#store(key, tokens - 1);
+		return true;
+	}
+
+	#store(key: string, tokens: number): void {
+		this.#tokens.delete(key);
+		if (tokens >= this.options.burst) {
+			return;
+		}
+
+		this.#tokens.set(key, tokens);
+		if (this.#tokens.size > this.#maxEntries) {
+			const [oldest] = this.#tokens.keys();
+			this.#tokens.delete(oldest!);
+		}
+	}
+}
+
+const keyOf = (callerId: string, database: string): string => `${database}\u0000${callerId}`;
