--- /dev/null
+++ b/packages/proxy/src/admin/infra/proxy-metrics.ts
@@ -0,0 +1,109 @@
+import {WorkClass, type ExecuteRequest, type ExecuteResponse} from '@dogwoodthread/protocol';
+import {
+	collectDefaultMetrics, Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+import {type OwnerEvents, type OwnerRegistry} from '../../owner/index.js';
+
+const workClassLabels: Record<WorkClass, string> = {
+	[WorkClass.UNSPECIFIED]: 'unspecified',
+	[WorkClass.CRITICAL]: 'critical',
+	[WorkClass.SHORT]: 'short',
+	[WorkClass.BROWSE]: 'browse',
+	[WorkClass.LONG]: 'long',
+};
+
+const outcomeLabels = {done: 'done', notRun: 'not_run', unknown: 'unknown'} as const;
+
+/** Databases that get a label of their own; more are counted together to bound the number of series. */
+const maxDatabaseLabels = 50;
+
+/** Counters and gauges of the proxy. At most 51 databases x 5 classes x the codes of the catalogues. */
+export class ProxyMetrics implements OwnerEvents {
+	readonly registry = new Registry();
+	readonly #databases = new Set<string>();
+	readonly #requests: Counter<'database' | 'work_class' | 'outcome' | 'code'>;
+	readonly #durations: Histogram<'database' | 'work_class' | 'outcome'>;
+	readonly #reads: Counter<'database' | 'served_by'>;
+	readonly #promotions: Counter<'database' | 'result'>;
+	readonly #promotionSeconds: Gauge<'database' | 'phase'>;
+
+	constructor() {
+		const registers = [this.registry];
+		collectDefaultMetrics({register: this.registry});
+		this.#requests = new Counter({
+			name: 'dogwood_requests_total', help: 'Requests of callers by outcome', labelNames: ['database', 'work_class', 'outcome', 'code'], registers,
+		});
+		this.#durations = new Histogram({
+			name: 'dogwood_request_duration_seconds',
+			help: 'Time from a request of a caller to its answer',
+			labelNames: ['database', 'work_class', 'outcome'],
+			buckets: [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10],
+			registers,
+		});
+		this.#reads = new Counter({
+			name: 'dogwood_reads_total', help: 'Reads by kind of instance that served them', labelNames: ['database', 'served_by'], registers,
+		});
+		this.#promotions = new Counter({
+			name: 'dogwood_promotions_total', help: 'Promotions run by this proxy, by result', labelNames: ['database', 'result'], registers,
+		});
+		this.#promotionSeconds = new Gauge({
+			name: 'dogwood_last_promotion_seconds', help: 'Parts of the last promotion', labelNames: ['database', 'phase'], registers,
+		});
+	}
+
+	/** Adds gauges that are read from the owners when metrics are scraped. */
+	observeOwners(owners: OwnerRegistry): void {
+		const registers = [this.registry];
+		const gauge = (name: string, help: string, read: (owner: ReturnType<OwnerRegistry['all']>[number]) => number) => {
+			const labelled = new Gauge({
+				name, help, labelNames: ['database'], registers,
+				collect: () => {
+					labelled.reset();
+					for (const owner of owners.all()) {
+						labelled.set({database: this.#databaseLabel(owner.describe().database)}, read(owner));
+					}
+				},
+			});
+		};
+
+		gauge('dogwood_owner_acting', '1 while this proxy acts for the database', owner => owner.isActing ? 1 : 0);
+		gauge('dogwood_primary_missing', '1 while no serving primary is known', owner => owner.state.primary ? 0 : 1);
+		gauge('dogwood_term', 'Term of the group', owner => owner.state.tracker.term);
+		gauge('dogwood_queued_requests', 'Requests in admission queues', owner =>
+			[...owner.state.instances.values()].map(({admission}) => admission.queued).reduce((a, b) => a + b, 0));
+	}
+
+	request(request: ExecuteRequest, {outcome}: ExecuteResponse, durationMs: number): void {
+		const database = this.#databaseLabel(request.database);
+		const workClass = workClassLabels[request.workClass] ?? 'unspecified';
+		const name = outcomeLabels[outcome.case ?? 'unknown'];
+		const code = outcome.case === 'notRun' || outcome.case === 'unknown' ? outcome.value.code : 'none';
+		this.#requests.inc({
+			database, work_class: workClass, outcome: name, code,
+		});
+		this.#durations.observe({database, work_class: workClass, outcome: name}, durationMs / 1000);
+		if (outcome.case === 'done' && request.requestKey === undefined) {
+			this.#reads.inc({database, served_by: outcome.value.byReplica ? 'replica' : 'primary'});
+		}
+	}
+
+	promotion(report: Parameters<OwnerEvents['promotion']>[0]): void {
+		const database = this.#databaseLabel(report.database);
+		this.#promotions.inc({database, result: 'promoted'});
+		for (const phase of (['detection', 'agreement', 'fencing', 'promotion'] as const)) {
+			this.#promotionSeconds.set({database, phase}, report[`${phase}Ms`] / 1000);
+		}
+	}
+
+	promotionFailed(database: string, kind: string): void {
+		this.#promotions.inc({database: this.#databaseLabel(database), result: kind});
+	}
+
+	#databaseLabel(database: string): string {
+		if (this.#databases.size < maxDatabaseLabels) {
+			this.#databases.add(database);
+		}
+
+		return this.#databases.has(database) ? database : 'other';
+	}
+}
--- /dev/null
+++ b/packages/proxy/src/caller/core/caller-service.ts
@@ -0,0 +1,74 @@
+import {type ConnectRouter} from '@connectrpc/connect';
+import {type SessionTokenCodec, type TimerService} from '@dogwoodthread/coordination';
+import {
+	CallerService, type ExecuteRequest, type ExecuteResponse, type TransactRequest, type TransactResponse,
+} from '@dogwoodthread/protocol';
+import {notRun} from '../../outcome/index.js';
+import {takeFirst} from '../../peer/index.js';
+import {type RequestRouter} from './request-router.js';
+import {validateBegin, validateRequest} from './validate-request.js';
+
+/** Receives each finished request for metrics. */
+export type RequestObserver = (request: ExecuteRequest, response: ExecuteResponse, durationMs: number) => void;
+
+export type CallerServiceOptions = {
+	router: RequestRouter;
+	tokens: SessionTokenCodec;
+	timers: TimerService;
+	observe: RequestObserver;
+	/** Counts a request in flight for the graceful shutdown. */
+	track: <T>(work: Promise<T>) => Promise<T>;
+	/** Whether new requests are refused because the proxy is about to exit. */
+	isDraining: () => boolean;
+};
+
+/** What this proxy does for callers. */
+export class CallerServiceHandler {
+	constructor(private readonly options: CallerServiceOptions) {}
+
+	register(router: ConnectRouter): void {
+		router.service(CallerService, {
+			execute: async request => this.options.track(this.#execute(request)),
+			transact: steps => this.#transact(steps),
+		});
+	}
+
+	async #execute(request: ExecuteRequest): Promise<ExecuteResponse> {
+		const {timers, tokens, router, observe, isDraining} = this.options;
+		const startMs = timers.nowMs();
+		const response = isDraining()
+			? notRun('draining', 'The request did not run.', 1)
+			: validateRequest(request, tokens) ?? await router.execute(request);
+		observe(request, response, timers.nowMs() - startMs);
+		return response;
+	}
+
+	async * #transact(steps: AsyncIterable<TransactRequest>): AsyncIterable<TransactResponse> {
+		const finished = new PromiseWithResolver();
+		void this.options.track(finished.promise);
+		try {
+			const first = await takeFirst(steps);
+			const step = first?.value.step;
+			const refusal = step?.case === 'begin'
+				? validateBegin(step.value) ?? (this.options.isDraining() ? notRun('draining', 'The transaction did not begin.', 1) : undefined)
+				: notRun('invalid-request', 'The first step of a transaction must be begin.', 0);
+			if (refusal !== undefined || !first || step?.case !== 'begin') {
+				yield {
+					$typeName: 'dogwoodthread.v1.TransactResponse', stepId: 0n, response: refusal, ended: true,
+				};
+				return;
+			}
+
+			yield * this.options.router.transact(step.value.database, first.all);
+		} finally {
+			finished.resolve();
+		}
+	}
+}
+
+class PromiseWithResolver {
+	resolve!: () => void;
+	readonly promise = new Promise<void>(resolve => {
+		this.resolve = resolve;
+	});
+}
--- /dev/null
+++ b/packages/proxy/src/daemon/connect-server.ts
@@ -0,0 +1,57 @@
+import {once} from 'node:events';
+import {createServer, type Http2Server, type ServerHttp2Session} from 'node:http2';
+import {type AddressInfo} from 'node:net';
+import {type ConnectRouter} from '@connectrpc/connect';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+
+/** Largest message that is read; parameters may take 1 MiB of it. */
+const maxMessageBytes = 2 * 1024 * 1024;
+
+/** HTTP/2 server of one Connect service that can be shut down without cutting requests. */
+export class ConnectServer {
+	readonly #server: Http2Server = createServer();
+	readonly #sessions = new Set<ServerHttp2Session>();
+
+	constructor() {
+		this.#server.on('session', session => {
+			this.#sessions.add(session);
+			session.once('close', () => {
+				this.#sessions.delete(session);
+			});
+		});
+	}
+
+	/** Listens and gives the address as `ip:port`. */
+	async listen(host: string, port: number): Promise<string> {
+		this.#server.listen(port, host);
+		await once(this.#server, 'listening');
+		const address = this.#server.address() as AddressInfo;
+		return `${host}:${address.port}`;
+	}
+
+	/** Answers requests from now on; until then they wait. */
+	serve(register: (router: ConnectRouter) => void): void {
+		this.#server.on('request', connectNodeAdapter({routes: register, readMaxBytes: maxMessageBytes}));
+	}
+
+	/** Sends GOAWAY on every connection; streams that are open go on to their end. */
+	sendGoaway(): void {
+		this.#sessions.forEach(session => {
+			session.close();
+		});
+	}
+
+	/** Stops accepting connections and sends GOAWAY on the open ones. */
+	stopAccepting(): void {
+		this.#server.close();
+		this.sendGoaway();
+	}
+
+	/** Ends whatever is left. */
+	destroy(): void {
+		this.#server.close();
+		this.#sessions.forEach(session => {
+			session.destroy();
+		});
+	}
+}
--- /dev/null
+++ b/packages/proxy/src/daemon/in-flight.ts
@@ -0,0 +1,32 @@
+/** Counts requests in flight, so that a shutdown can wait for them. */
+export class InFlight {
+	#count = 0;
+	#idle: Array<() => void> = [];
+
+	get count(): number {
+		return this.#count;
+	}
+
+	readonly track = async <T>(work: Promise<T>): Promise<T> => {
+		this.#count += 1;
+		try {
+			return await work;
+		} finally {
+			this.#count -= 1;
+			if (this.#count === 0) {
+				this.#idle.splice(0).forEach(resolve => {
+					resolve();
+				});
+			}
+		}
+	};
+
+	/** Resolves when nothing is in flight. */
+	async whenIdle(): Promise<void> {
+		if (this.#count > 0) {
+			await new Promise<void>(resolve => {
+				this.#idle.push(resolve);
+			});
+		}
+	}
+}
--- /dev/null
+++ b/packages/proxy/src/daemon/index.ts
@@ -0,0 +1,2 @@
+/** The proxy process. */
+export {ProxyDaemon, type ProxyAddresses} from './proxy-daemon.js';
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,2 +1,5 @@
 /** The proxy's parts that other packages use. */
 export * from './platform/index.js';
+export * from './settings/index.js';
+export * from './gossip/index.js';
+export * from './endpoint/index.js';
--- a/packages/proxy/src/owner/index.ts
+++ b/packages/proxy/src/owner/index.ts
@@ -3,3 +3,4 @@
 	AdmissionFactory, DatabasePolicy, OwnerEvents, OwnerOptions, Witness,
 } from './definitions.js';
 export {DatabaseOwner} from './core/database-owner.js';
+export {OwnerRegistry, type OwnerRegistryOptions} from './core/owner-registry.js';
--- a/packages/proxy/src/peer/core/peer-clients.ts
+++ b/packages/proxy/src/peer/core/peer-clients.ts
@@ -51,9 +51,7 @@
 	}
 
 	async getOwnership(peerAddress: string, database: string): Promise<PeerOwnership | undefined> {
-		return this.#query(peerAddress, async client => fromOwnershipMessage(
-			await client.getOwnership({database}, {timeoutMs: this.options.queryTimeoutMs}),
-		));
+		return this.#query(peerAddress, async client => fromOwnershipMessage(await client.getOwnership({database}, {timeoutMs: this.options.queryTimeoutMs})));
 	}
 
 	async announceOwnership(peerAddress: string, ownership: VersionedOwnership, group: GroupRecord | undefined): Promise<void> {
--- /dev/null
+++ b/packages/proxy/src/peer/core/peer-service.ts
@@ -0,0 +1,174 @@
+import {type ConnectRouter} from '@connectrpc/connect';
+import {type MembershipView, type TimerService} from '@dogwoodthread/coordination';
+import {
+	type ForwardRequest, type ForwardResponse, PeerService, type TransactRequest, type TransactResponse,
+} from '@dogwoodthread/protocol';
+import {type DatabaseDirectory, type HolderCheck} from '../../directory/index.js';
+import {AsyncQueue, type EndpointConnector} from '../../endpoint/index.js';
+import {notRun} from '../../outcome/index.js';
+import {type OwnerRegistry} from '../../owner/index.js';
+import {maxBatchSize} from './forward-link.js';
+import {fromOwnershipMessage, toOwnershipMessage} from './ownership-messages.js';
+
+export type PeerServiceOptions = {
+	directory: DatabaseDirectory;
+	holderCheck: HolderCheck;
+	owners: OwnerRegistry;
+	membership: MembershipView;
+	connector: EndpointConnector;
+	timers: TimerService;
+	document: {version: number; content: string | undefined};
+	/** Counts a request in flight for the graceful shutdown. */
+	track: <T>(work: Promise<T>) => Promise<T>;
+};
+
+type ResponseInit = {requestId: bigint; response?: ForwardResponse['response']; notActingOwner?: boolean};
+
+/** What this proxy does for its peers. */
+export class PeerServiceHandler {
+	constructor(private readonly options: PeerServiceOptions) {}
+
+	register(router: ConnectRouter): void {
+		const {directory, membership, document} = this.options;
+		router.service(PeerService, {
+			forward: requests => this.#forward(requests),
+			transact: steps => this.#transact(steps),
+			observeEndpoint: async ({address, memberId}) => this.#observe(address, memberId),
+			getDocument: ({knownVersion}) => ({
+				version: BigInt(document.version),
+				content: document.version > Number(knownVersion) ? document.content : undefined,
+			}),
+			getOwnership({database}) {
+				const entry = directory.entry(database);
+				return toOwnershipMessage(database, entry?.ownership, entry?.group);
+			},
+			ownershipChanged(message) {
+				const {ownership, group} = fromOwnershipMessage(message);
+				if (ownership) {
+					directory.accept(ownership, group);
+				}
+
+				return {};
+			},
+			getView: () => ({
+				members: membership.members().map(member => ({
+					...member,
+					incarnation: String(member.startedUnixMs),
+					documentVersion: BigInt(member.documentVersion),
+				})),
+			}),
+		});
+	}
+
+	/** Answers as they come, several in one message when they come within one turn of the event loop. */
+	async * #forward(batches: AsyncIterable<{requests: ForwardRequest[]}>) {
+		const answers = new AsyncQueue<{responses: ResponseInit[]}>();
+		const batcher = new AnswerBatcher(answers);
+		void this.#readRequests(batches, batcher, answers);
+		yield * answers;
+	}
+
+	async #readRequests(batches: AsyncIterable<{requests: ForwardRequest[]}>, batcher: AnswerBatcher, answers: AsyncQueue<{responses: ResponseInit[]}>): Promise<void> {
+		try {
+			for await (const {requests} of batches) {
+				for (const request of requests) {
+					void this.#answer(request, batcher);
+				}
+			}
+		} catch {
+			// The peer has gone; what it asked for still runs to its end, its answers go nowhere.
+		}
+
+		answers.close();
+	}
+
+	async #answer({requestId, request}: ForwardRequest, batcher: AnswerBatcher): Promise<void> {
+		const {owners, timers, track, directory, holderCheck} = this.options;
+		if (!request) {
+			batcher.add({requestId, response: notRun('invalid-request', 'The forwarded request is empty.', 0)});
+			return;
+		}
+
+		const owner = owners.get(request.database);
+		if (!owner?.isActing) {
+			// The sender may know a newer record, or this proxy may not have heard of its seat yet.
+			void (owner ? holderCheck.check(request.database) : directory.refresh(request.database));
+			batcher.add({requestId, notActingOwner: true});
+			return;
+		}
+
+		const response = await track(owner.execute(request, timers.nowMs() + request.timeoutMs));
+		batcher.add({requestId, response});
+	}
+
+	async * #transact(steps: AsyncIterable<TransactRequest>): AsyncIterable<TransactResponse> {
+		const {owners} = this.options;
+		const first = await takeFirst(steps);
+		const database = first?.value.step.case === 'begin' ? first.value.step.value.database : '';
+		const owner = owners.get(database);
+		if (!first || !owner) {
+			yield {
+				$typeName: 'dogwoodthread.v1.TransactResponse', stepId: 0n, ended: true,
+				response: notRun('no-acting-owner', 'This proxy does not act for the database.', 200),
+			};
+			return;
+		}
+
+		yield * owner.transact(first.all);
+	}
+
+	async #observe(address: string, memberId: string) {
+		const {connector, membership} = this.options;
+		const {failureDomain} = membership.self();
+		// Term 0 fences nothing; the call only shows whether a fresh connection gets an answer.
+		const reply = await connector.fence({
+			memberId, address, replicationAddress: '', failureDomain: '',
+		}, 0);
+		return {reachable: reply.isOk(), failureDomain, reason: reply.isOk() ? '' : reply.error.message};
+	}
+}
+
+/** Collects answers within one turn of the event loop. */
+class AnswerBatcher {
+	#batch: ResponseInit[] = [];
+
+	constructor(private readonly answers: AsyncQueue<{responses: ResponseInit[]}>) {}
+
+	add(answer: ResponseInit): void {
+		if (this.#batch.length === 0) {
+			setImmediate(() => {
+				this.#flush();
+			});
+		}
+
+		this.#batch.push(answer);
+		if (this.#batch.length >= maxBatchSize) {
+			this.#flush();
+		}
+	}
+
+	#flush(): void {
+		if (this.#batch.length > 0) {
+			this.answers.push({responses: this.#batch});
+			this.#batch = [];
+		}
+	}
+}
+
+/** Reads the first item without losing it for the one who iterates over all. */
+export async function takeFirst<T>(items: AsyncIterable<T>): Promise<{value: T; all: AsyncIterable<T>} | undefined> {
+	const iterator = items[Symbol.asyncIterator]();
+	const first = await iterator.next();
+	if (first.done) {
+		return undefined;
+	}
+
+	async function * all() {
+		yield first.value as T;
+		for (let next = await iterator.next(); !next.done; next = await iterator.next()) {
+			yield next.value;
+		}
+	}
+
+	return {value: first.value, all: all()};
+}
--- /dev/null
+++ b/packages/proxy/src/peer/index.ts
@@ -0,0 +1,6 @@
+/** Communication between proxies. */
+export type {
+	ForwardResult, PeerLinks, PeerOwnership, PeerQueries,
+} from './definitions.js';
+export {PeerClients} from './core/peer-clients.js';
+export {PeerServiceHandler, takeFirst, type PeerServiceOptions} from './core/peer-service.js';
