--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './endpoint/index.js';
