Add the load tool, the history checker and the demo

Cause: the safety properties need a check that takes the endpoints' logs as ground truth. Change: process supervisor, deployments of real processes, recorded history, checker, roaming sessions at an open-loop rate, nine scenarios, dogwood-load and dogwood-demo.

--- /dev/null
+++ b/packages/load/src/bin/dogwood-load.ts
@@ -0,0 +1,116 @@
+#!/usr/bin/env node
+import {SystemTimerService} from '@dogwoodthread/coordination';
+import {cac} from 'cac';
+import pino from 'pino';
+import {z} from 'zod';
+import {deploymentPlans} from '../deployment/index.js';
+import {
+	createScenarios, ScenarioRun, type RunOptions, type RunResult,
+} from '../scenario/index.js';
+import {readVersion, runProgram} from './run-program.js';
+
+/** Start, last answers and checks take less than this beyond the load itself. */
+const overheadLimitMs = 90_000;
+
+const maxSeconds = 300;
+
+const scenarios = createScenarios();
+
+const argumentsSchema = z.object({
+	scenario: z.enum(scenarios.map(({name}) => name) as [string, ...string[]]),
+	seed: z.coerce.number().int(),
+	json: z.boolean().default(false),
+	policy: z.enum(['fair', 'fifo']),
+	deployment: z.enum(['kiambu', 'molde']),
+	seconds: z.coerce.number().positive().max(maxSeconds),
+	rate: z.coerce.number().positive().max(5000),
+	proxies: z.coerce.number().int().min(1).max(9),
+	applyLagMs: z.coerce.number().int().min(0).optional(),
+});
+
+type Arguments = z.infer<typeof argumentsSchema>;
+
+const logger = pino({base: undefined}, pino.destination({fd: 2, sync: true}));
+
+const log = (message: string, fields: Record<string, unknown> = {}): void => {
+	logger.info(fields, message);
+};
+
+const createRunOptions = (options: Arguments): RunOptions => {
+	const scenario = scenarios.find(({name}) => name === options.scenario);
+	if (!scenario) {
+		throw new Error(`There is no scenario ${options.scenario}.`);
+	}
+
+	return {
+		scenario,
+		plan: {...deploymentPlans[options.deployment], policy: options.policy, proxies: options.proxies},
+		seed: options.seed,
+		durationMs: options.seconds * 1000,
+		ratePerSecond: options.rate,
+		scenarioOptions: {applyLagMs: options.applyLagMs},
+		timers: new SystemTimerService(),
+		log,
+	};
+};
+
+const printResult = (options: Arguments, {ok, report, workload, figures, violations}: RunResult): void => {
+	const {harms, ...counts} = report;
+	for (const harm of harms.slice(0, 20)) {
+		logger.error(harm, 'harm');
+	}
+
+	const result = {
+		...options, json: undefined, ...counts, ...figures, ...workload, violations, ok,
+	};
+	if (!options.json) {
+		process.stdout.write(`${options.scenario}: ${ok ? 'held' : `violated: ${violations.join('; ')}`}\n`);
+		for (const [name, value] of Object.entries(counts)) {
+			process.stdout.write(`  ${name}: ${JSON.stringify(value)}\n`);
+		}
+	}
+
+	process.stdout.write(`${JSON.stringify(result)}\n`);
+};
+
+const exitWithUsageError = (message: string): never => {
+	process.stderr.write(`${message}\nRun dogwood-load --help for the usage.\n`);
+	process.exit(2);
+};
+
+const runLoad = async (input: unknown): Promise<void> => {
+	const parsed = argumentsSchema.safeParse(input);
+	if (!parsed.success) {
+		return exitWithUsageError(z.prettifyError(parsed.error));
+	}
+
+	const options = parsed.data;
+	return runProgram({
+		timeLimitMs: (options.seconds * 1000) + overheadLimitMs,
+		log,
+		async run() {
+			const result = await new ScenarioRun(createRunOptions(options)).run();
+			printResult(options, result);
+			return result.ok;
+		},
+	});
+};
+
+const cli = cac('dogwood-load');
+cli.command('<scenario>', `Runs a scenario and checks the history:\n${scenarios.map(({name, summary}) => `    ${name.padEnd(16)} ${summary}`).join('\n')}`)
+	.option('--seed <number>', 'seed of the random choices', {default: 1})
+	.option('--json', 'print only the JSON line')
+	.option('--policy <policy>', 'admission policy of the proxies: fair or fifo', {default: 'fair'})
+	.option('--deployment <name>', 'size: kiambu or molde', {default: 'kiambu'})
+	.option('--seconds <number>', 'how long the load runs', {default: 20})
+	.option('--rate <number>', 'requests a second', {default: 120})
+	.option('--proxies <number>', 'number of proxies', {default: 4})
+	.option('--apply-lag-ms <number>', 'steady: apply lag of one replica of each group')
+	.action(async (scenario: string, options: Record<string, unknown>) => runLoad({...options, scenario}));
+cli.help();
+cli.version(readVersion());
+try {
+	cli.parse();
+} catch (error) {
+	exitWithUsageError(error instanceof Error ? error.message : String(error));
+}
--- /dev/null
+++ b/packages/load/src/deployment/infra/platform-client.ts
@@ -0,0 +1,29 @@
+import {type PlatformHost} from '@dogwoodthread/coordination';
+import {type GroupRecord, type PlatformFaults} from '../definitions.js';
+import {requestJson} from './http-json.js';
+
+/** Sets up the platform's stand-in and reads it back. */
+export class PlatformClient {
+	constructor(readonly baseUrl: string) {}
+
+	async createGroup(record: GroupRecord): Promise<void> {
+		await requestJson('PUT', `${this.baseUrl}/v1/objects/groups/${record.database}`, record, {'if-none-match': '*'});
+	}
+
+	async readGroup(database: string): Promise<GroupRecord> {
+		const body = await requestJson('GET', `${this.baseUrl}/v1/objects/groups/${database}`);
+		return body as GroupRecord;
+	}
+
+	async readObject(kind: string, name: string): Promise<unknown> {
+		return requestJson('GET', `${this.baseUrl}/v1/objects/${kind}/${name}`);
+	}
+
+	async setHosts(hosts: PlatformHost[]): Promise<void> {
+		await requestJson('PUT', `${this.baseUrl}/v1/hosts`, hosts);
+	}
+
+	async setFaults(faults: PlatformFaults): Promise<void> {
+		await requestJson('PUT', `${this.baseUrl}/v1/faults`, faults);
+	}
+}
--- /dev/null
+++ b/packages/load/src/history/core/history-recorder.ts
@@ -0,0 +1,16 @@
+import {type HistoryEntry} from '../definitions.js';
+
+/** Collects every attempt of every request in the order in which they ended. */
+export class HistoryRecorder {
+	readonly #entries: HistoryEntry[] = [];
+
+	record(entry: Omit<HistoryEntry, 'id'>): HistoryEntry {
+		const recorded = {...entry, id: this.#entries.length};
+		this.#entries.push(recorded);
+		return recorded;
+	}
+
+	entries(): readonly HistoryEntry[] {
+		return this.#entries;
+	}
+}
--- /dev/null
+++ b/packages/load/src/scenario/definitions.ts
@@ -0,0 +1,59 @@
+import {type TimerService} from '@dogwoodthread/coordination';
+import {type CheckReport} from '../checker/index.js';
+import {type Deployment, type DeploymentPlan} from '../deployment/index.js';
+import {type HistoryEntry} from '../history/index.js';
+import {type WorkloadStats} from '../workload/index.js';
+
+/** Reports progress; `fields` are for machines. */
+export type ProgressLog = (message: string, fields?: Record<string, unknown>) => void;
+
+export type ScenarioOptions = {
+	/** Apply lag of one replica of each group, for `steady`. */
+	applyLagMs?: number;
+};
+
+/** What a scenario works with while the load runs. */
+export type ScenarioContext = {
+	deployment: Deployment;
+	timers: TimerService;
+	/** Time that the load runs in ms; faults are placed relative to it. */
+	durationMs: number;
+	options: ScenarioOptions;
+	log: ProgressLog;
+	/** Notes the start of the fault for the write gap. Without a database it concerns all of them. */
+	markFault(database?: string): void;
+	/** Adds a figure to the result. */
+	report(name: string, value: unknown): void;
+	history(): readonly HistoryEntry[];
+};
+
+/** A fault or a kind of load, and what must hold beyond the checks that every run makes. */
+export type Scenario = {
+	readonly name: string;
+	readonly summary: string;
+	/** Runs beside the load: injects its faults and has healed them when it returns. */
+	run(context: ScenarioContext): Promise<void>;
+	/** Further violations, in words. */
+	verify?(context: ScenarioContext, report: CheckReport): string[];
+};
+
+export type RunOptions = {
+	scenario: Scenario;
+	plan: DeploymentPlan;
+	seed: number;
+	durationMs: number;
+	ratePerSecond: number;
+	scenarioOptions: ScenarioOptions;
+	timers: TimerService;
+	log: ProgressLog;
+};
+
+export type RunResult = {
+	ok: boolean;
+	report: CheckReport;
+	workload: WorkloadStats;
+	/** Figures of the scenario. */
+	figures: Record<string, unknown>;
+	/** Why `ok` is false. */
+	violations: string[];
+};
