Use the records of the coordination package in the load tool

Cause: the group and ownership records are defined there now. Change: own copies dropped; wrong usage of both programs exits with 2.

--- a/packages/load/src/bin/dogwood-demo.ts
+++ b/packages/load/src/bin/dogwood-demo.ts
@@ -3,7 +3,7 @@
 import {cac} from 'cac';
 import {deploymentPlans} from '../deployment/index.js';
 import {FailoverScenario, ScenarioRun, type RunResult} from '../scenario/index.js';
-import {readVersion, runProgram} from './run-program.js';
+import {parseCommandLine, runProgram} from './run-program.js';
 
 /** Long enough for a promotion (at most 3 s at this size) in the middle of the load. */
 const durationMs = 10_000;
@@ -49,6 +49,4 @@
 cli.command('', 'Loads a small deployment, kills the primary in the middle and checks that nothing was lost')
 	.option('--seed <number>', 'seed of the random choices', {default: 1})
 	.action(async ({seed}: {seed: number}) => runProgram({timeLimitMs, log, run: async () => runDemo(Number(seed))}));
-cli.help();
-cli.version(readVersion());
-cli.parse();
+parseCommandLine(cli);
--- a/packages/load/src/bin/dogwood-load.ts
+++ b/packages/load/src/bin/dogwood-load.ts
@@ -7,7 +7,7 @@
 import {
 	createScenarios, ScenarioRun, type RunOptions, type RunResult,
 } from '../scenario/index.js';
-import {readVersion, runProgram} from './run-program.js';
+import {exitWithUsageError, parseCommandLine, runProgram} from './run-program.js';
 
 /** Start, last answers and checks take less than this beyond the load itself. */
 const overheadLimitMs = 90_000;
@@ -73,15 +73,10 @@
 	process.stdout.write(`${JSON.stringify(result)}\n`);
 };
 
-const exitWithUsageError = (message: string): never => {
-	process.stderr.write(`${message}\nRun dogwood-load --help for the usage.\n`);
-	process.exit(2);
-};
-
 const runLoad = async (input: unknown): Promise<void> => {
 	const parsed = argumentsSchema.safeParse(input);
 	if (!parsed.success) {
-		return exitWithUsageError(z.prettifyError(parsed.error));
+		return exitWithUsageError(cli.name, z.prettifyError(parsed.error));
 	}
 
 	const options = parsed.data;
@@ -107,10 +102,4 @@
 	.option('--proxies <number>', 'number of proxies', {default: 4})
 	.option('--apply-lag-ms <number>', 'steady: apply lag of one replica of each group')
 	.action(async (scenario: string, options: Record<string, unknown>) => runLoad({...options, scenario}));
-cli.help();
-cli.version(readVersion());
-try {
-	cli.parse();
-} catch (error) {
-	exitWithUsageError(error instanceof Error ? error.message : String(error));
-}
+parseCommandLine(cli);
--- a/packages/load/src/bin/run-program.ts
+++ b/packages/load/src/bin/run-program.ts
@@ -1,4 +1,5 @@
 import {readFileSync} from 'node:fs';
+import {type CAC} from 'cac';
 
 /** Version of this package. */
 export const readVersion = (): string => {
@@ -27,3 +28,20 @@
 		process.exit(1);
 	}
 };
+
+/** Ends the program with the code for wrong usage. */
+export const exitWithUsageError = (program: string, message: string): never => {
+	process.stderr.write(`${message}\nRun ${program} --help for the usage.\n`);
+	process.exit(2);
+};
+
+/** Parses the arguments and runs the command. */
+export const parseCommandLine = (cli: CAC): void => {
+	cli.help();
+	cli.version(readVersion());
+	try {
+		cli.parse();
+	} catch (error) {
+		exitWithUsageError(cli.name, error instanceof Error ? error.message : String(error));
+	}
+};
--- a/packages/load/src/deployment/definitions.ts
+++ b/packages/load/src/deployment/definitions.ts
@@ -61,13 +61,3 @@
 	adminAddress: string;
 	process: ManagedProcess;
 };
-
-/** Group record as it is kept at the platform. */
-export type GroupRecord = {
-	database: string;
-	members: Array<{memberId: string; address: string; replicationAddress: string; failureDomain: string}>;
-	term: number;
-	primary: string;
-	phase: string;
-	changeId: string;
-};
--- a/packages/load/src/deployment/index.ts
+++ b/packages/load/src/deployment/index.ts
@@ -1,6 +1,6 @@
 /** Deployments of real processes on loopback. */
 export type {
-	AdmissionPolicy, DeploymentPlan, EndpointFaults, EndpointHandle, GroupRecord, PlatformFaults, ProxyHandle,
+	AdmissionPolicy, DeploymentPlan, EndpointFaults, EndpointHandle, PlatformFaults, ProxyHandle,
 } from './definitions.js';
 export {deploymentPlans, type DeploymentName} from './domain/plans.js';
 export {Deployment} from './core/deployment.js';
--- a/packages/load/src/deployment/infra/group-starter.ts
+++ b/packages/load/src/deployment/infra/group-starter.ts
@@ -1,7 +1,8 @@
 import {createClient, type Client} from '@connectrpc/connect';
 import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {type GroupRecord} from '@dogwoodthread/coordination';
 import {EndpointService} from '@dogwoodthread/protocol';
-import {type EndpointHandle, type GroupRecord} from '../definitions.js';
+import {type EndpointHandle} from '../definitions.js';
 
 /** Starting an empty instance takes milliseconds. */
 const callTimeoutMs = 5000;
--- a/packages/load/src/deployment/infra/platform-client.ts
+++ b/packages/load/src/deployment/infra/platform-client.ts
@@ -1,5 +1,5 @@
-import {type PlatformHost} from '@dogwoodthread/coordination';
-import {type GroupRecord, type PlatformFaults} from '../definitions.js';
+import {type GroupRecord, type OwnershipRecord, type PlatformHost} from '@dogwoodthread/coordination';
+import {type PlatformFaults} from '../definitions.js';
 import {requestJson} from './http-json.js';
 
 /** Sets up the platform's stand-in and reads it back. */
@@ -11,12 +11,11 @@
 	}
 
 	async readGroup(database: string): Promise<GroupRecord> {
-		const body = await requestJson('GET', `${this.baseUrl}/v1/objects/groups/${database}`);
-		return body as GroupRecord;
+		return await requestJson('GET', `${this.baseUrl}/v1/objects/groups/${database}`) as GroupRecord;
 	}
 
-	async readObject(kind: string, name: string): Promise<unknown> {
-		return requestJson('GET', `${this.baseUrl}/v1/objects/${kind}/${name}`);
+	async readOwners(database: string): Promise<OwnershipRecord> {
+		return await requestJson('GET', `${this.baseUrl}/v1/objects/owners/${database}`) as OwnershipRecord;
 	}
 
 	async setHosts(hosts: PlatformHost[]): Promise<void> {
