--- a/packages/load/src/scenario/core/run-scenario.ts
+++ b/packages/load/src/scenario/core/run-scenario.ts
@@ -1,11 +1,13 @@
 import {checkHistory, isFreeOfHarm, type CheckReport} from '../../checker/index.js';
-import {Deployment, readTruth, waitUntilCaughtUp} from '../../deployment/index.js';
+import {
+	Deployment, type DeploymentPlan, readTruth, waitUntilCaughtUp,
+} from '../../deployment/index.js';
 import {HistoryRecorder} from '../../history/index.js';
 import {
-	ConnectCallerClient, RoamingSession, SeededRandom, SessionPlan, Workload,
+	ConnectCallerClient, RoamingSession, SeededRandom, SessionPlan, Workload, type RoamingSessionOptions,
 } from '../../workload/index.js';
 import {
-	type RunOptions, type RunResult, type ScenarioContext,
+	type RunOptions, type RunResult, type Scenario, type ScenarioContext,
 } from '../definitions.js';
 import {ReadyProxies} from '../infra/ready-proxies.js';
 
@@ -24,6 +26,8 @@
 /** One run: starts the deployment, loads it, lets the scenario do its harm, stops and checks. */
 export class ScenarioRun {
 	readonly #options: RunOptions;
+	readonly #scenario: Scenario;
+	readonly #plan: DeploymentPlan;
 	readonly #deployment: Deployment;
 	readonly #recorder = new HistoryRecorder();
 	readonly #client = new ConnectCallerClient();
@@ -34,7 +38,9 @@
 
 	constructor(options: RunOptions) {
 		this.#options = options;
-		this.#deployment = new Deployment(options.plan);
+		this.#scenario = options.scenario;
+		this.#plan = this.#scenario.adaptPlan?.(options.plan) ?? options.plan;
+		this.#deployment = new Deployment(this.#plan);
 		this.#random = new SeededRandom(options.seed);
 	}
 
@@ -62,11 +68,12 @@
 	}
 
 	async #runSteps(): Promise<RunResult> {
-		const {log, scenario, durationMs, timers} = this.#options;
+		const {log, durationMs, timers} = this.#options;
+		const scenario = this.#scenario;
 		const directory = await this.#startDeployment();
 		await this.#warmUp(directory);
 		const workload = this.#createWorkload(directory);
-		const context = this.#createContext();
+		const context = this.#createContext(directory, workload);
 		log(`load runs for ${durationMs / 1000} s beside scenario ${scenario.name}`);
 		workload.start();
 		await Promise.all([timers.sleep(durationMs), scenario.run(context)]);
@@ -80,7 +87,8 @@
 	}
 
 	async #startDeployment(): Promise<ReadyProxies> {
-		const {log, timers, plan} = this.#options;
+		const {log, timers} = this.#options;
+		const plan = this.#plan;
 		log(`starting a platform, ${plan.databases.length} x ${plan.instancesPerDatabase} endpoints and ${plan.proxies} proxies`);
 		await this.#deployment.start();
 		this.#directory = new ReadyProxies(this.#deployment, timers);
@@ -99,12 +107,9 @@
 
 	/** Waits until every group acknowledges a write. */
 	async #warmUp(directory: ReadyProxies): Promise<void> {
-		const {plan, timers} = this.#options;
-		await Promise.all(plan.databases.map(async database => {
+		await Promise.all(this.#plan.databases.map(async database => {
 			const sessionId = `warm-${database}`;
-			const session = new RoamingSession({
-				sessionId, database, client: this.#client, directory, recorder: this.#recorder, timers, random: this.#random.fork(), timeoutMs: attemptTimeoutMs, stepTimeoutMs,
-			});
+			const session = new RoamingSession({...this.#sessionOptions(directory), sessionId, database});
 			const answer = await session.perform(new SessionPlan(sessionId, this.#random.fork()).next());
 			if (answer?.outcome !== 'done') {
 				throw new Error(`${database} acknowledged no write within ${stepTimeoutMs} ms; the last answer was ${JSON.stringify(this.#recorder.entries().at(-1))}`);
@@ -113,22 +118,30 @@
 	}
 
 	#createWorkload(directory: ReadyProxies): Workload {
-		const {plan, timers, ratePerSecond} = this.#options;
 		return new Workload({
-			databases: plan.databases,
+			...this.#sessionOptions(directory),
+			databases: this.#plan.databases,
+			ratePerSecond: this.#options.ratePerSecond,
+			maxSessions,
+			createPlan: (sessionId, random) => new SessionPlan(sessionId, random),
+			...this.#scenario.adaptLoad?.(this.#plan),
+		});
+	}
+
+	#sessionOptions(directory: ReadyProxies): Omit<RoamingSessionOptions, 'sessionId' | 'database'> {
+		return {
 			client: this.#client,
 			directory,
 			recorder: this.#recorder,
-			timers,
+			timers: this.#options.timers,
 			random: this.#random.fork(),
-			ratePerSecond,
-			maxSessions,
 			timeoutMs: attemptTimeoutMs,
 			stepTimeoutMs,
-		});
+			repeatsRefused: true,
+		};
 	}
 
-	#createContext(): ScenarioContext {
+	#createContext(directory: ReadyProxies, workload: Workload): ScenarioContext {
 		const {timers, durationMs, scenarioOptions, log} = this.#options;
 		return {
 			deployment: this.#deployment,
@@ -143,11 +156,19 @@
 				this.#figures[name] = value;
 			},
 			history: () => this.#recorder.entries(),
+			steps: () => workload.steps(),
+			setRate(ratePerSecond) {
+				workload.setRate(ratePerSecond);
+			},
+			createSession: (sessionId, database, overrides) => new RoamingSession({
+				...this.#sessionOptions(directory), sessionId, database, ...overrides,
+			}),
 		};
 	}
 
 	async #check(): Promise<CheckReport> {
-		const {plan, log} = this.#options;
+		const {log} = this.#options;
+		const plan = this.#plan;
 		const caughtUp = await Promise.all(plan.databases.map(async database => waitUntilCaughtUp(this.#deployment, database, catchUpTimeoutMs)));
 		this.#figures.replicasCaughtUp = caughtUp.every(Boolean);
 		const truths = await Promise.all(plan.databases.map(async database => readTruth(this.#deployment, database)));
--- a/packages/load/src/scenario/definitions.ts
+++ b/packages/load/src/scenario/definitions.ts
@@ -2,7 +2,9 @@
 import {type CheckReport} from '../checker/index.js';
 import {type Deployment, type DeploymentPlan} from '../deployment/index.js';
 import {type HistoryEntry} from '../history/index.js';
-import {type WorkloadStats} from '../workload/index.js';
+import {
+	type RoamingSession, type RoamingSessionOptions, type StepRecord, type WorkloadOptions, type WorkloadStats,
+} from '../workload/index.js';
 
 /** Reports progress; `fields` are for machines. */
 export type ProgressLog = (message: string, fields?: Record<string, unknown>) => void;
@@ -25,16 +27,27 @@
 	/** Adds a figure to the result. */
 	report(name: string, value: unknown): void;
 	history(): readonly HistoryEntry[];
+	/** Steps of the load that have ended. */
+	steps(): readonly StepRecord[];
+	setRate(ratePerSecond: number): void;
+	/** A further session, recorded in the same history. */
+	createSession(sessionId: string, database: string, overrides?: Partial<RoamingSessionOptions>): RoamingSession;
 };
 
 /** A fault or a kind of load, and what must hold beyond the checks that every run makes. */
 export type Scenario = {
 	readonly name: string;
 	readonly summary: string;
+	/** Changes to the deployment that the scenario needs. */
+	adaptPlan?(plan: DeploymentPlan): DeploymentPlan;
+	/** Changes to the load that the scenario needs. */
+	adaptLoad?(plan: DeploymentPlan): Partial<WorkloadOptions>;
 	/** Runs beside the load: injects its faults and has healed them when it returns. */
 	run(context: ScenarioContext): Promise<void>;
 	/** Further violations, in words. */
 	verify?(context: ScenarioContext, report: CheckReport): string[];
+	/** Figures against a run of the same scenario and seed with first-in-first-out admission. */
+	compare?(result: RunResult, baseline: RunResult): Record<string, unknown>;
 };
 
 export type RunOptions = {
--- a/packages/load/src/workload/core/roaming-session.ts
+++ b/packages/load/src/workload/core/roaming-session.ts
@@ -25,6 +25,8 @@
 	timeoutMs: number;
 	/** Time after which a step is abandoned, repeats included. */
 	stepTimeoutMs: number;
+	/** Whether a refused step comes back after the stated time; if not, the refusal is final. */
+	repeatsRefused: boolean;
 };
 
 /** A caller with one request at a time that goes to another proxy with each of them. */
@@ -50,7 +52,7 @@
 		let hasUnknownAttempt = false;
 		while (timers.nowMs() < deadlineMs) {
 			const answer = await this.#attempt(step, key);
-			if (answer.outcome === 'done' || (answer.outcome === 'not-run' && answer.retryAfterMs === 0)) {
+			if (answer.outcome === 'done' || (answer.outcome === 'not-run' && this.#isFinal(answer.retryAfterMs, hasUnknownAttempt))) {
 				return answer;
 			}
 
@@ -62,6 +64,10 @@
 		return undefined;
 	}
 
+	#isFinal(retryAfterMs: number, hasUnknownAttempt: boolean): boolean {
+		return retryAfterMs === 0 || !(this.#options.repeatsRefused || hasUnknownAttempt);
+	}
+
 	#newKey(step: SessionStep): CallRequest['requestKey'] {
 		if (step.access === 'read') {
 			return undefined;
--- a/packages/load/src/workload/core/workload.ts
+++ b/packages/load/src/workload/core/workload.ts
@@ -1,11 +1,10 @@
 import {type TimerService} from '@dogwoodthread/coordination';
 import {type HistoryRecorder} from '../../history/index.js';
 import {
-	type CallerClient, type ProxyDirectory, type SessionStep, type WorkloadStats,
+	type CallerClient, type ProxyDirectory, type StepPlan, type StepRecord, type WorkloadStats,
 } from '../definitions.js';
 import {LatencyRecorder} from '../domain/latency-recorder.js';
 import {type SeededRandom} from '../domain/seeded-random.js';
-import {SessionPlan} from '../domain/session-plan.js';
 import {RoamingSession} from './roaming-session.js';
 
 export type WorkloadOptions = {
@@ -21,9 +20,11 @@
 	maxSessions: number;
 	timeoutMs: number;
 	stepTimeoutMs: number;
+	repeatsRefused: boolean;
+	createPlan(sessionId: string, random: SeededRandom): StepPlan;
 };
 
-type Member = {session: RoamingSession; plan: SessionPlan; isIdle: boolean};
+type Member = {session: RoamingSession; plan: StepPlan; isIdle: boolean};
 
 /**
  * Open-loop load: steps become due at random times at a given rate, and latency counts from then,
@@ -34,12 +35,22 @@
 	readonly #members: Member[] = [];
 	readonly #running = new Set<Promise<void>>();
 	readonly #latency = {read: new LatencyRecorder(), write: new LatencyRecorder()};
-	readonly #counts = {steps: 0, abandonedSteps: 0, droppedArrivals: 0};
+	readonly #steps: StepRecord[] = [];
+	#ratePerSecond: number;
 	#isStopped = false;
 	#arrivals: Promise<void> = Promise.resolve();
 
 	constructor(options: WorkloadOptions) {
 		this.#options = options;
+		this.#ratePerSecond = options.ratePerSecond;
+	}
+
+	setRate(ratePerSecond: number): void {
+		this.#ratePerSecond = ratePerSecond;
+	}
+
+	steps(): readonly StepRecord[] {
+		return this.#steps;
 	}
 
 	start(): void {
@@ -54,14 +65,20 @@
 	}
 
 	stats(): WorkloadStats {
-		return {...this.#counts, latency: {read: this.#latency.read.summary(), write: this.#latency.write.summary()}};
+		const count = (outcome: StepRecord['outcome']): number => this.#steps.filter(step => step.outcome === outcome).length;
+		return {
+			steps: this.#steps.length,
+			abandonedSteps: count('abandoned'),
+			droppedArrivals: count('dropped'),
+			latency: {read: this.#latency.read.summary(), write: this.#latency.write.summary()},
+		};
 	}
 
 	async #generateArrivals(): Promise<void> {
-		const {timers, random, ratePerSecond} = this.#options;
+		const {timers, random} = this.#options;
 		let dueMs = timers.nowMs();
 		while (!this.#isStopped) {
-			dueMs += random.arrivalGapMs(ratePerSecond);
+			dueMs += random.arrivalGapMs(this.#ratePerSecond);
 			const waitMs = dueMs - timers.nowMs();
 			// Timers are no finer than 1 ms; arrivals that are due sooner start at once.
 			if (waitMs >= 1) {
@@ -75,13 +92,14 @@
 	#startStep(dueMs: number): void {
 		const member = this.#pickMember();
 		if (!member) {
-			this.#counts.droppedArrivals += 1;
+			this.#steps.push({
+				statement: '', access: 'read', dueMs, endMs: dueMs, outcome: 'dropped',
+			});
 			return;
 		}
 
-		this.#counts.steps += 1;
 		member.isIdle = false;
-		const run = this.#runStep(member, member.plan.next(), dueMs);
+		const run = this.#runStep(member, dueMs);
 		this.#running.add(run);
 		void this.#forgetWhenDone(run);
 	}
@@ -91,15 +109,19 @@
 		this.#running.delete(run);
 	}
 
-	async #runStep(member: Member, step: SessionStep, dueMs: number): Promise<void> {
+	async #runStep(member: Member, dueMs: number): Promise<void> {
+		const step = member.plan.next();
 		const answer = await member.session.perform(step);
+		const endMs = this.#options.timers.nowMs();
 		member.isIdle = true;
+		this.#steps.push({
+			statement: step.statement, access: step.access, dueMs, endMs, outcome: answer?.outcome ?? 'abandoned',
+		});
 		if (!answer) {
-			this.#counts.abandonedSteps += 1;
 			return;
 		}
 
-		this.#latency[step.access].record(this.#options.timers.nowMs() - dueMs);
+		this.#latency[step.access].record(endMs - dueMs);
 		if (answer.outcome === 'done' && answer.statementError === undefined) {
 			member.plan.acknowledge(step);
 		}
@@ -114,14 +136,14 @@
 	}
 
 	#addMember(): Member {
-		const {databases, client, directory, recorder, timers, random, timeoutMs, stepTimeoutMs} = this.#options;
+		const {databases, random, createPlan} = this.#options;
 		const sessionId = `s${this.#members.length + 1}`;
 		const database = databases[this.#members.length % databases.length] ?? '';
 		const member = {
 			session: new RoamingSession({
-				sessionId, database, client, directory, recorder, timers, random: random.fork(), timeoutMs, stepTimeoutMs,
+				...this.#options, sessionId, database, random: random.fork(),
 			}),
-			plan: new SessionPlan(sessionId, random.fork()),
+			plan: createPlan(sessionId, random.fork()),
 			isIdle: true,
 		};
 		this.#members.push(member);
--- a/packages/load/src/workload/definitions.ts
+++ b/packages/load/src/workload/definitions.ts
@@ -49,6 +49,24 @@
 	maxAgeMs?: number;
 };
 
+/** Chooses the steps of one session. */
+export type StepPlan = {
+	next(): SessionStep;
+	/** Tells the plan that a step was done without a statement error. */
+	acknowledge(step: SessionStep): void;
+};
+
+/** How one step went, repeats included. */
+export type StepRecord = {
+	statement: string;
+	access: 'read' | 'write';
+	/** When the step was due, whether or not it could start then. */
+	dueMs: number;
+	endMs: number;
+	/** `abandoned`: no final answer in time. `dropped`: not started, because all sessions were busy. */
+	outcome: 'done' | 'not-run' | 'unknown' | 'abandoned' | 'dropped';
+};
+
 export type LatencySummary = {count: number; p50Ms: number; p99Ms: number; maxMs: number};
 
 export type WorkloadStats = {
--- a/packages/load/src/workload/domain/session-plan.ts
+++ b/packages/load/src/workload/domain/session-plan.ts
@@ -1,4 +1,4 @@
-import {type SessionStep} from '../definitions.js';
+import {type SessionStep, type StepPlan} from '../definitions.js';
 import {type SeededRandom} from './seeded-random.js';
 
 type Booking = {bookingId: string; lane: string};
@@ -13,7 +13,7 @@
  * Chooses a session's steps: holds, payments and amendments of its own bookings, and after each
  * write a read of what it wrote, so that every write is checked by the session's next request.
  */
-export class SessionPlan {
+export class SessionPlan implements StepPlan {
 	readonly #sessionId: string;
 	readonly #random: SeededRandom;
 	readonly #bookings: Booking[] = [];
--- a/packages/load/test/workload/roaming-session.test.ts
+++ b/packages/load/test/workload/roaming-session.test.ts
@@ -51,6 +51,7 @@
 		random: new SeededRandom(1),
 		timeoutMs: 1000,
 		stepTimeoutMs: 10_000,
+		repeatsRefused: true,
 	});
 	const clock = setInterval(() => {
 		timers.advance(10);
