--- a/packages/load/src/bin/dogwood-load.ts
+++ b/packages/load/src/bin/dogwood-load.ts
@@ -3,13 +3,13 @@
 import {cac} from 'cac';
 import pino from 'pino';
 import {z} from 'zod';
-import {deploymentPlans} from '../deployment/index.js';
+import {deploymentPlans, type AdmissionPolicy} from '../deployment/index.js';
 import {
-	createScenarios, ScenarioRun, type RunOptions, type RunResult,
+	createScenarios, ScenarioRun, type RunOptions, type RunResult, type Scenario,
 } from '../scenario/index.js';
 import {exitWithUsageError, parseCommandLine, runProgram} from './run-program.js';
 
-/** Start, last answers and checks take less than this beyond the load itself. */
+/** Start, last answers and checks take less than this beyond the load itself; a scenario may run twice. */
 const overheadLimitMs = 90_000;
 
 const maxSeconds = 300;
@@ -36,41 +36,53 @@
 	logger.info(fields, message);
 };
 
-const createRunOptions = (options: Arguments): RunOptions => {
-	const scenario = scenarios.find(({name}) => name === options.scenario);
+const findScenario = (name: string): Scenario => {
+	const scenario = scenarios.find(each => each.name === name);
 	if (!scenario) {
-		throw new Error(`There is no scenario ${options.scenario}.`);
+		throw new Error(`There is no scenario ${name}.`);
 	}
 
-	return {
-		scenario,
-		plan: {...deploymentPlans[options.deployment], policy: options.policy, proxies: options.proxies},
-		seed: options.seed,
-		durationMs: options.seconds * 1000,
-		ratePerSecond: options.rate,
-		scenarioOptions: {applyLagMs: options.applyLagMs},
-		timers: new SystemTimerService(),
-		log,
-	};
+	return scenario;
+};
+
+const createRunOptions = (options: Arguments, scenario: Scenario, policy: AdmissionPolicy): RunOptions => ({
+	scenario,
+	plan: {...deploymentPlans[options.deployment], policy, proxies: options.proxies},
+	seed: options.seed,
+	durationMs: options.seconds * 1000,
+	ratePerSecond: options.rate,
+	scenarioOptions: {applyLagMs: options.applyLagMs},
+	timers: new SystemTimerService(),
+	log,
+});
+
+/** The same scenario, seed and size with first-in-first-out admission, for ratios within one run. */
+const runBaseline = async (options: Arguments, scenario: Scenario, result: RunResult): Promise<Record<string, unknown>> => {
+	if (!scenario.compare || options.policy === 'fifo') {
+		return {};
+	}
+
+	log('the same again with first-in-first-out admission');
+	const baseline = await new ScenarioRun(createRunOptions(options, scenario, 'fifo')).run();
+	return {baseline: baseline.figures, ...scenario.compare(result, baseline)};
 };
 
-const printResult = (options: Arguments, {ok, report, workload, figures, violations}: RunResult): void => {
+const printResult = (options: Arguments, {ok, report, workload, figures, violations}: RunResult, comparison: Record<string, unknown>): void => {
 	const {harms, ...counts} = report;
 	for (const harm of harms.slice(0, 20)) {
 		logger.error(harm, 'harm');
 	}
 
-	const result = {
-		...options, json: undefined, ...counts, ...figures, ...workload, violations, ok,
-	};
 	if (!options.json) {
 		process.stdout.write(`${options.scenario}: ${ok ? 'held' : `violated: ${violations.join('; ')}`}\n`);
-		for (const [name, value] of Object.entries(counts)) {
+		for (const [name, value] of Object.entries({...counts, ...figures, ...comparison})) {
 			process.stdout.write(`  ${name}: ${JSON.stringify(value)}\n`);
 		}
 	}
 
-	process.stdout.write(`${JSON.stringify(result)}\n`);
+	process.stdout.write(`${JSON.stringify({
+		...options, json: undefined, ...counts, ...figures, ...comparison, ...workload, violations, ok,
+	})}\n`);
 };
 
 const runLoad = async (input: unknown): Promise<void> => {
@@ -81,11 +93,12 @@
 
 	const options = parsed.data;
 	return runProgram({
-		timeLimitMs: (options.seconds * 1000) + overheadLimitMs,
+		timeLimitMs: 2 * ((options.seconds * 1000) + overheadLimitMs),
 		log,
 		async run() {
-			const result = await new ScenarioRun(createRunOptions(options)).run();
-			printResult(options, result);
+			const scenario = findScenario(options.scenario);
+			const result = await new ScenarioRun(createRunOptions(options, scenario, options.policy)).run();
+			printResult(options, result, await runBaseline(options, scenario, result));
 			return result.ok;
 		},
 	});
--- a/packages/load/src/scenario/core/run-scenario.ts
+++ b/packages/load/src/scenario/core/run-scenario.ts
@@ -76,16 +76,28 @@
 		const context = this.#createContext(directory, workload);
 		log(`load runs for ${durationMs / 1000} s beside scenario ${scenario.name}`);
 		workload.start();
-		await Promise.all([timers.sleep(durationMs), scenario.run(context)]);
+		const [scenarioErrors] = await Promise.all([this.#runScenario(context), timers.sleep(durationMs)]);
 		log('load ends, waiting for the last answers');
 		await workload.stop();
 		const report = await this.#check();
-		const violations = [...this.#violations(report), ...scenario.verify?.(context, report) ?? []];
+		const violations = [...scenarioErrors, ...this.#violations(report), ...scenario.verify?.(context, report) ?? []];
 		return {
 			ok: violations.length === 0, report, workload: workload.stats(), figures: this.#figures, violations,
 		};
 	}
 
+	/** A scenario that fails is a violation; the history is checked all the same. */
+	async #runScenario(context: ScenarioContext): Promise<string[]> {
+		try {
+			await this.#scenario.run(context);
+			return [];
+		} catch (error) {
+			const message = error instanceof Error ? error.message : String(error);
+			this.#options.log(`the scenario failed: ${message}`);
+			return [message];
+		}
+	}
+
 	async #startDeployment(): Promise<ReadyProxies> {
 		const {log, timers} = this.#options;
 		const plan = this.#plan;
--- a/packages/load/src/scenario/scenarios/index.ts
+++ b/packages/load/src/scenario/scenarios/index.ts
@@ -1,10 +1,13 @@
 import {type Scenario} from '../definitions.js';
+import {CrestScenario} from './crest.js';
 import {CrossedScenario} from './crossed.js';
 import {FailoverScenario} from './failover.js';
 import {LeavingScenario} from './leaving.js';
+import {LongWorkScenario} from './long-work.js';
 import {PartitionScenario} from './partition.js';
 import {PausedOwnerScenario} from './paused-owner.js';
 import {PlatformOutageScenario} from './platform-outage.js';
+import {ReadShareScenario} from './read-share.js';
 import {RollingRestartScenario} from './rolling-restart.js';
 import {SilentScenario} from './silent.js';
 import {SteadyScenario} from './steady.js';
@@ -19,4 +22,7 @@
 	new CrossedScenario(),
 	new PausedOwnerScenario(),
 	new LeavingScenario(),
+	new LongWorkScenario(),
+	new CrestScenario(),
+	new ReadShareScenario(),
 ];
--- a/packages/load/src/scenario/scenarios/steady.ts
+++ b/packages/load/src/scenario/scenarios/steady.ts
@@ -1,5 +1,5 @@
-import {setEndpointFaults} from '../../deployment/index.js';
 import {type Scenario, type ScenarioContext} from '../definitions.js';
+import {delayOneReplica} from '../infra/replica-lag.js';
 
 /** Load without a failure; optionally one replica of each group applies entries late. */
 export class SteadyScenario implements Scenario {
@@ -12,18 +12,8 @@
 	}
 
 	async run({deployment, options, log}: ScenarioContext): Promise<void> {
-		const {applyLagMs} = options;
-		if (applyLagMs === undefined) {
-			return;
+		if (options.applyLagMs !== undefined) {
+			await delayOneReplica(deployment, options.applyLagMs, log);
 		}
-
-		await Promise.all(deployment.plan.databases.map(async database => {
-			const primary = await deployment.primaryOf(database);
-			const replica = deployment.endpointsOf(database).find(endpoint => endpoint !== primary);
-			if (replica) {
-				log(`${replica.memberId} applies entries ${applyLagMs} ms late`);
-				await setEndpointFaults(replica, {applyLagMs});
-			}
-		}));
 	}
 }
--- a/packages/load/src/workload/index.ts
+++ b/packages/load/src/workload/index.ts
@@ -1,6 +1,6 @@
 /** Sessions that roam between proxies, at an open-loop rate. */
 export type {
-	CallAnswer, CallerClient, CallRequest, ProxyDirectory, SessionStep, StepPlan, StepRecord, WorkloadStats,
+	CallAnswer, CallerClient, CallRequest, LatencySummary, ProxyDirectory, SessionStep, StepPlan, StepRecord, WorkloadStats,
 } from './definitions.js';
 export {LatencyRecorder} from './domain/latency-recorder.js';
 export {SeededRandom} from './domain/seeded-random.js';
