Read the platform's objects in their envelope

Cause: GET /v1/objects answers with kind, name, version and value. Change: the load tool takes the value.

--- a/packages/load/src/deployment/infra/platform-client.ts
+++ b/packages/load/src/deployment/infra/platform-client.ts
@@ -1,4 +1,6 @@
-import {type GroupRecord, type OwnershipRecord, type PlatformHost} from '@dogwoodthread/coordination';
+import {
+	type GroupRecord, type ObjectKind, type OwnershipRecord, type PlatformHost, type PlatformObject,
+} from '@dogwoodthread/coordination';
 import {type PlatformFaults} from '../definitions.js';
 import {requestJson} from './http-json.js';
 
@@ -11,11 +13,11 @@
 	}
 
 	async readGroup(database: string): Promise<GroupRecord> {
-		return await requestJson('GET', `${this.baseUrl}/v1/objects/groups/${database}`) as GroupRecord;
+		return await this.#readValue('groups', database) as GroupRecord;
 	}
 
 	async readOwners(database: string): Promise<OwnershipRecord> {
-		return await requestJson('GET', `${this.baseUrl}/v1/objects/owners/${database}`) as OwnershipRecord;
+		return await this.#readValue('owners', database) as OwnershipRecord;
 	}
 
 	async setHosts(hosts: PlatformHost[]): Promise<void> {
@@ -25,4 +27,9 @@
 	async setFaults(faults: PlatformFaults): Promise<void> {
 		await requestJson('PUT', `${this.baseUrl}/v1/faults`, faults);
 	}
+
+	async #readValue(kind: ObjectKind, name: string): Promise<unknown> {
+		const object = await requestJson('GET', `${this.baseUrl}/v1/objects/${kind}/${name}`) as PlatformObject;
+		return object.value;
+	}
 }
