Name the database in control calls to instances

Cause: instances refuse Fence, Promote and Follow for a database that they do not serve, and the calls carried none, so no promotion could fence a majority ("Only 0 of 3 members could be fenced", demo, primary killed). Change: `GroupControl` methods take the database.

--- a/packages/coordination/src/group/core/promote-primary.ts
+++ b/packages/coordination/src/group/core/promote-primary.ts
@@ -96,7 +96,7 @@
 	async #fenceMajority(record: GroupRecord): Promise<Result<Fenced[], PromotionError>> {
 		const majority = majorityOf(record.members.length);
 		const replies = await collect(record.members.map(async member => {
-			const reply = await this.options.control.fence(member, record.term);
+			const reply = await this.options.control.fence(record.database, member, record.term);
 			return reply.map(value => ({member, reply: value}));
 		}), majority);
 		const superseding = replies.find(({reply}) => reply.fencedTerm > record.term);
@@ -116,14 +116,14 @@
 
 	async #promote({record, version}: Versioned, primary: GroupMember): Promise<Result<void, PromotionError>> {
 		const {control} = this.options;
-		const reply = await control.promote(primary, record.term);
+		const reply = await control.promote(record.database, primary, record.term);
 		if (reply.isErr() || !reply.value.accepted) {
 			return failure('target-refused', `Member ${primary.memberId} did not become primary of term ${record.term}; the promotion is tried again with the next term.`);
 		}
 
 		await collect(record.members
 			.filter(({memberId}) => memberId !== primary.memberId)
-			.map(async member => control.follow(member, record.term, primary)), majorityOf(record.members.length) - 1);
+			.map(async member => control.follow(record.database, member, record.term, primary)), majorityOf(record.members.length) - 1);
 		// The record only informs from here on; the primary of the term is fixed and serves.
 		await this.#write(version, {...record, phase: 'established'});
 		return ok();
--- a/packages/coordination/src/group/definitions.ts
+++ b/packages/coordination/src/group/definitions.ts
@@ -63,9 +63,9 @@
 
 /** Control of the instances of a group. Every call is refused by an instance that is fenced at a higher term. */
 export type GroupControl = {
-	fence(member: GroupMember, term: number): Promise<Result<FenceReply, ControlError>>;
-	promote(member: GroupMember, term: number): Promise<Result<ControlReply, ControlError>>;
-	follow(member: GroupMember, term: number, primary: GroupMember): Promise<Result<ControlReply, ControlError>>;
+	fence(database: string, member: GroupMember, term: number): Promise<Result<FenceReply, ControlError>>;
+	promote(database: string, member: GroupMember, term: number): Promise<Result<ControlReply, ControlError>>;
+	follow(database: string, member: GroupMember, term: number, primary: GroupMember): Promise<Result<ControlReply, ControlError>>;
 };
 
 /**
--- a/packages/proxy/src/endpoint/infra/connect-endpoint-connector.ts
+++ b/packages/proxy/src/endpoint/infra/connect-endpoint-connector.ts
@@ -34,24 +34,24 @@
 		return answered.map(() => monitor);
 	}
 
-	async fence({address}: GroupMember, term: number): Promise<Result<FenceReply, ControlError>> {
+	async fence(database: string, {address}: GroupMember, term: number): Promise<Result<FenceReply, ControlError>> {
 		return this.#control(address, async client => {
-			const {accepted, fencedTerm, last} = await client.fence({term: BigInt(term)}, {timeoutMs: this.options.controlTimeoutMs});
+			const {accepted, fencedTerm, last} = await client.fence({database, term: BigInt(term)}, {timeoutMs: this.options.controlTimeoutMs});
 			return {accepted, fencedTerm: Number(fencedTerm), last: toLogPosition(last)};
 		});
 	}
 
-	async promote({address}: GroupMember, term: number): Promise<Result<ControlReply, ControlError>> {
+	async promote(database: string, {address}: GroupMember, term: number): Promise<Result<ControlReply, ControlError>> {
 		return this.#control(address, async client => {
-			const {accepted, fencedTerm} = await client.promote({term: BigInt(term)}, {timeoutMs: this.options.controlTimeoutMs});
+			const {accepted, fencedTerm} = await client.promote({database, term: BigInt(term)}, {timeoutMs: this.options.controlTimeoutMs});
 			return {accepted, fencedTerm: Number(fencedTerm)};
 		});
 	}
 
-	async follow({address}: GroupMember, term: number, primary: GroupMember): Promise<Result<ControlReply, ControlError>> {
+	async follow(database: string, {address}: GroupMember, term: number, primary: GroupMember): Promise<Result<ControlReply, ControlError>> {
 		return this.#control(address, async client => {
 			const {accepted, fencedTerm} = await client.follow({
-				term: BigInt(term), primaryMemberId: primary.memberId, primaryAddress: primary.replicationAddress,
+				database, term: BigInt(term), primaryMemberId: primary.memberId, primaryAddress: primary.replicationAddress,
 			}, {timeoutMs: this.options.controlTimeoutMs});
 			return {accepted, fencedTerm: Number(fencedTerm)};
 		});
--- a/packages/proxy/src/owner/core/owner-registry.ts
+++ b/packages/proxy/src/owner/core/owner-registry.ts
@@ -64,10 +64,9 @@
 
 	close(): void {
 		this.#closed = true;
-		for (const {owner} of this.#owners) {
+		this.all().forEach(owner => {
 			owner.stop();
-		}
-
+		});
 		this.#owners.clear();
 	}
 
--- a/packages/proxy/src/owner/core/promotion-driver.ts
+++ b/packages/proxy/src/owner/core/promotion-driver.ts
@@ -175,7 +175,7 @@
 		for (const {member} of [...this.state.instances.values()]
 			.filter(instance => instance !== primary && this.#needsFollow(instance))) {
 			this.options.logger.info({event: 'member-told-to-follow', memberId: member.memberId, term: tracker.term});
-			void this.options.connector.follow(member, tracker.term, primary.member);
+			void this.options.connector.follow(this.options.database, member, tracker.term, primary.member);
 		}
 	}
 
--- a/packages/proxy/src/peer/core/peer-service.ts
+++ b/packages/proxy/src/peer/core/peer-service.ts
@@ -1,7 +1,7 @@
 import {type ConnectRouter} from '@connectrpc/connect';
 import {type MembershipView, type TimerService} from '@dogwoodthread/coordination';
 import {
-	type ForwardRequest, type ForwardResponse, PeerService, type TransactRequest, type TransactResponse,
+	type ForwardRequest, type ForwardResponse, type ObserveEndpointRequest, PeerService, type TransactRequest, type TransactResponse,
 } from '@dogwoodthread/protocol';
 import {type DatabaseDirectory, type HolderCheck} from '../../directory/index.js';
 import {AsyncQueue, type EndpointConnector} from '../../endpoint/index.js';
@@ -33,7 +33,7 @@
 		router.service(PeerService, {
 			forward: requests => this.#forward(requests),
 			transact: steps => this.#transact(steps),
-			observeEndpoint: async ({address, memberId}) => this.#observe(address, memberId),
+			observeEndpoint: async question => this.#observe(question),
 			getDocument: ({knownVersion}) => ({
 				version: BigInt(document.version),
 				content: document.version > Number(knownVersion) ? document.content : undefined,
@@ -117,11 +117,11 @@
 		yield * owner.transact(first.all);
 	}
 
-	async #observe(address: string, memberId: string) {
+	async #observe({database, address, memberId}: ObserveEndpointRequest) {
 		const {connector, membership} = this.options;
 		const {failureDomain} = membership.self();
 		// Term 0 fences nothing; the call only shows whether a fresh connection gets an answer.
-		const reply = await connector.fence({
+		const reply = await connector.fence(database, {
 			memberId, address, replicationAddress: '', failureDomain: '',
 		}, 0);
 		return {reachable: reply.isOk(), failureDomain, reason: reply.isOk() ? '' : reply.error.message};
