--- a/packages/coordination/src/admission/core/fair-admission.ts
+++ b/packages/coordination/src/admission/core/fair-admission.ts
@@ -1,5 +1,5 @@
 import {err, ok, type Result} from 'neverthrow';
-import {type RandomSource} from '../../retry-budget/index.js';
+import {type RandomSource} from '../../random/index.js';
 import {type TimerService, type TimerSubscription} from '../../timer/index.js';
 import {
 	type AdmissionLimits, type AdmissionRequest, type AdmissionStats, type ObservableAdmission, type Permit, type Refusal,
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -8,6 +8,7 @@
 export * from './membership/index.js';
 export * from './ownership/index.js';
 export * from './platform/index.js';
+export * from './random/index.js';
 export * from './retry-budget/index.js';
 export * from './session-token/index.js';
 export * from './timer/index.js';
--- /dev/null
+++ b/packages/coordination/src/random/index.ts
@@ -0,0 +1,2 @@
+/** Random numbers as a port, and choices made with them. */
+export {sample, shuffle, type RandomSource} from './domain/random.js';
--- a/packages/coordination/src/retry-budget/domain/jitter.ts
+++ b/packages/coordination/src/retry-budget/domain/jitter.ts
@@ -1,4 +1,4 @@
-import {type RandomSource} from '../definitions.js';
+import {type RandomSource} from '../../random/index.js';
 
 /** Shortest time in ms after which a repeat makes sense. */
 const minRetryAfterMs = 10;
--- a/packages/proxy/src/bin/dogwood-proxy.ts
+++ b/packages/proxy/src/bin/dogwood-proxy.ts
@@ -38,11 +38,11 @@
 	cli.help();
 	cli.version('0.1.0');
 	const {options} = cli.parse();
-	if (options['help'] || options['version']) {
+	if (options.help || options.version) {
 		return;
 	}
 
-	const settings = await readSettings(options['settings'] as string | undefined);
+	const settings = await readSettings(options.settings as string | undefined);
 	const logger = pino({level: settings.logLevel, base: {hostId: settings.hostId}}, destination(stderr));
 	const daemon = new ProxyDaemon(settings, logger);
 	let stopping = false;
--- a/packages/proxy/src/daemon/connect-server.ts
+++ b/packages/proxy/src/daemon/connect-server.ts
@@ -36,9 +36,9 @@
 
 	/** Sends GOAWAY on every connection; streams that are open go on to their end. */
 	sendGoaway(): void {
-		this.#sessions.forEach(session => {
+		for (const session of this.#sessions) {
 			session.close();
-		});
+		}
 	}
 
 	/** Stops accepting connections and sends GOAWAY on the open ones. */
@@ -50,8 +50,8 @@
 	/** Ends whatever is left. */
 	destroy(): void {
 		this.#server.close();
-		this.#sessions.forEach(session => {
+		for (const session of this.#sessions) {
 			session.destroy();
-		});
+		}
 	}
 }
--- a/packages/proxy/src/owner/core/owner-registry.ts
+++ b/packages/proxy/src/owner/core/owner-registry.ts
@@ -64,9 +64,10 @@
 
 	close(): void {
 		this.#closed = true;
-		this.all().forEach(owner => {
+		for (const owner of this.all()) {
 			owner.stop();
-		});
+		}
+
 		this.#owners.clear();
 	}
 
