--- a/packages/proxy/src/admin/infra/admin-server.ts
+++ b/packages/proxy/src/admin/infra/admin-server.ts
@@ -16,33 +16,30 @@
 	});
 }
 
-async function answer({registry, isReady, describeStatus}: AdminServerOptions, request: IncomingMessage, response: ServerResponse): Promise<void> {
-	switch (request.url) {
-		case '/metrics': {
-			send(response, 200, registry.contentType, await registry.metrics());
-			break;
-		}
-
-		case '/healthz': {
-			send(response, 200, 'text/plain', 'ok\n');
-			break;
-		}
-
-		case '/readyz': {
-			const ready = isReady();
-			send(response, ready ? 200 : 503, 'text/plain', ready ? 'ready\n' : 'not ready\n');
-			break;
-		}
-
-		case '/status': {
-			send(response, 200, 'application/json', JSON.stringify(describeStatus()));
-			break;
-		}
+type Page = (options: AdminServerOptions, response: ServerResponse) => Promise<void> | void;
+
+const pages: Record<string, Page> = {
+	async '/metrics'({registry}, response) {
+		send(response, 200, registry.contentType, await registry.metrics());
+	},
+	'/healthz'(_options, response) {
+		send(response, 200, 'text/plain', 'ok\n');
+	},
+	'/readyz'({isReady}, response) {
+		const ready = isReady();
+		send(response, ready ? 200 : 503, 'text/plain', ready ? 'ready\n' : 'not ready\n');
+	},
+	'/status'({describeStatus}, response) {
+		send(response, 200, 'application/json', JSON.stringify(describeStatus()));
+	},
+};
 
-		case undefined:
-		default: {
-			send(response, 404, 'text/plain', 'Not found; use /metrics, /healthz, /readyz or /status.\n');
-		}
+async function answer(options: AdminServerOptions, {url}: IncomingMessage, response: ServerResponse): Promise<void> {
+	const page = Object.hasOwn(pages, url ?? '') ? pages[url!] : undefined;
+	if (page) {
+		await page(options, response);
+	} else {
+		send(response, 404, 'text/plain', `Not found; use ${Object.keys(pages).join(', ')}.\n`);
 	}
 }
 
--- a/packages/proxy/src/bin/dogwood-proxy.ts
+++ b/packages/proxy/src/bin/dogwood-proxy.ts
@@ -3,7 +3,6 @@
  * `dogwood-proxy`: the daemon on entry hosts. Prints its addresses as one JSON line when it listens.
  */
 import {readFile} from 'node:fs/promises';
-import process from 'node:process';
 import {cac} from 'cac';
 import {destination, pino} from 'pino';
 import {ProxyDaemon} from '../daemon/index.js';
@@ -19,10 +18,14 @@
 		process.exit(exitUsage);
 	}
 
-	const text = await readFile(file, 'utf8').catch((error: unknown) => {
+	let text: string;
+	try {
+		text = await readFile(file, 'utf8');
+	} catch (error) {
 		process.stderr.write(`The settings cannot be read: ${String(error)}\n`);
 		process.exit(exitUsage);
-	});
+	}
+
 	const settings = loadSettings(text, proxySettingsSchema);
 	if (settings.isErr()) {
 		process.stderr.write(`${settings.error.message}\n${settings.error.mistakes.map(mistake => `  ${mistake}\n`).join('')}`);
