Fix the last linter finding of dogwood-proxy

Cause: XO takes an untyped logical or for a missing nullish operator. Change: test the two options by name.

--- a/packages/proxy/src/bin/dogwood-proxy.ts
+++ b/packages/proxy/src/bin/dogwood-proxy.ts
@@ -41,7 +41,7 @@
 	cli.help();
 	cli.version('0.1.0');
 	const {options} = cli.parse();
-	if (options.help || options.version) {
+	if (['help', 'version'].some(name => options[name] === true)) {
 		return;
 	}
 
