--- a/packages/standin/src/endpoint/domain/statements.ts
+++ b/packages/standin/src/endpoint/domain/statements.ts
@@ -2,7 +2,9 @@
 import {
 	type BookingRow, type PaymentRow, type RowChange, type StatementAnswer,
 } from '../definitions.js';
-import {bookingKey, laneKey, type TableView} from './tables.js';
+import {
+	bookingKey, laneKey, refundKey, type TableView,
+} from './tables.js';
 
 /** Effect of a statement that has not been committed. */
 export type StatementOutcome = {
@@ -69,7 +71,7 @@
 			paymentId: `refund:${batchId}:${bookingId}`, bookingId, amountCents: -balanceCents(view.payments(bookingId)),
 		}))
 		.filter(({amountCents}) => amountCents < 0);
-	return answered(rows, rows.map(row => ({table: 'payments', row})), rows.map(({bookingId}) => `refund:${bookingId}`));
+	return answered(rows, rows.map(row => ({table: 'payments', row})), rows.map(({bookingId}) => refundKey(bookingId)));
 };
 
 const byLaneAndSlot = (a: BookingRow, b: BookingRow): number => a.lane.localeCompare(b.lane) || a.slot.localeCompare(b.slot);
@@ -90,7 +92,7 @@
 		writes: true,
 		serviceMs: shortMs,
 		bind(parameters) {
-			const [paymentId, bookingId, amountCents] = z.tuple([text, text, z.int()]).parse(parameters);
+			const [paymentId, bookingId, amountCents] = z.tuple([text, text, z.int().positive()]).parse(parameters);
 			const row = {paymentId, bookingId, amountCents};
 			return () => answered([row], [{table: 'payments', row}]);
 		},
--- a/packages/standin/src/endpoint/domain/tables.ts
+++ b/packages/standin/src/endpoint/domain/tables.ts
@@ -13,6 +13,9 @@
 /** Name of the unique index entry of a lane and slot, for conflict detection. */
 export const laneKey = (lane: string, slot: string): string => `lane:${JSON.stringify([lane, slot])}`;
 
+/** Name of the balance of a booking that refunds pay out, for conflict detection. */
+export const refundKey = (bookingId: string): string => `refund:${bookingId}`;
+
 /** Name of a booking row, for conflict detection. */
 export const bookingKey = (bookingId: string): string => `booking:${bookingId}`;
 
@@ -27,7 +30,7 @@
 	apply(changes: RowChange[], index: number): void {
 		for (const change of changes) {
 			if (change.table === 'payments') {
-				this.#addPayment(change.row);
+				this.#addPayment(change.row, index);
 			} else {
 				this.#putBooking(change.row, index);
 			}
@@ -67,8 +70,12 @@
 		return [...this.#payments];
 	}
 
-	#addPayment(row: PaymentRow): void {
+	#addPayment(row: PaymentRow, index: number): void {
 		this.#payments.push(row);
+		if (row.amountCents < 0) {
+			this.#changedAt.set(refundKey(row.bookingId), index);
+		}
+
 		const ofBooking = this.#paymentsByBooking.get(row.bookingId);
 		if (ofBooking) {
 			ofBooking.push(row);
--- a/packages/standin/src/endpoint/infra/monitor-stream.ts
+++ b/packages/standin/src/endpoint/infra/monitor-stream.ts
@@ -14,6 +14,7 @@
 	identity: ConnectionIdentity = {rank: 0, generation: 0, index: 0};
 	readonly outbox: Outbox<MonitorMessage>;
 	#isOpen = false;
+	#isClosed = false;
 	#isPushPlanned = false;
 	#lastPushed = '';
 	readonly #stopListening: Array<() => void> = [];
@@ -34,12 +35,12 @@
 	async run(requests: AsyncIterable<MonitorRequest>): Promise<void> {
 		try {
 			for await (const {hello, pingId} of requests) {
-				if (!this.#isOpen && !await this.#open(hello)) {
+				await this.instance.faults.untilThawed();
+				if (this.#isClosed || (!this.#isOpen && !await this.#open(hello))) {
 					return;
 				}
 
 				if (pingId !== 0n) {
-					await this.instance.faults.untilThawed();
 					this.outbox.push({...this.instance.monitorStatus(), pingId});
 				}
 			}
@@ -98,6 +99,7 @@
 	}
 
 	#end(): void {
+		this.#isClosed = true;
 		this.instance.registry.remove(this);
 		for (const stop of this.#stopListening.splice(0)) {
 			stop();
--- a/packages/standin/src/endpoint/infra/session-stream.ts
+++ b/packages/standin/src/endpoint/infra/session-stream.ts
@@ -45,7 +45,8 @@
 	async run(requests: AsyncIterable<SessionRequest>): Promise<void> {
 		try {
 			for await (const {request} of requests) {
-				await this.#handle(request);
+				await this.instance.faults.untilThawed();
+				await (!this.#isClosed && this.#handle(request));
 				if (this.#isClosed) {
 					return;
 				}
