Add the governing document: schema, edits, history, version in force

Cause: operators of four teams edit one document at the same time, and an accepted change must not be lost, doubled or reverted. Change: each section is kept as its team's YAML text; an edit validates the whole document and replaces it conditionally; a lost answer is resolved by the change id; history entries hold line differences; versions in force only increase, and peers exchange deltas. Conclusion: the proxies can follow the document.

--- a/packages/coordination/src/document/index.ts
+++ b/packages/coordination/src/document/index.ts
@@ -1,1 +1,26 @@
-export {};
+/** The operators' governing document: schema, validation, edits, history and the version in force. */
+export type {
+	ChangeRecord, DocumentDifference, DocumentError, DocumentErrorKind, DocumentMistake, DocumentResult, GoverningDocument,
+	HistoryEntry, PeerDocument, PeerDocuments, SectionName, SectionTexts, StoredDocument, VersionedDocument,
+} from './definitions.js';
+export {type ChangeStatement} from './domain/change.js';
+export {defaultDocument, type DefaultDocumentOptions, sectionTexts} from './domain/default-document.js';
+export {differenceOf, type Difference, formatDifference} from './domain/line-difference.js';
+export {formatMistake} from './domain/mistakes.js';
+export {parseDocument} from './domain/parse-document.js';
+export {
+	type DatabaseLimits, type GoverningSections, type GoverningSectionsInput, type MonitorWords, type ServiceObjective,
+} from './domain/schema.js';
+export {isSectionName, sectionNames, sectionTeams} from './domain/sections.js';
+export {readStoredDocument} from './domain/stored-document.js';
+export {type Acceptance, type AcceptOptions} from './core/accept-change.js';
+export {
+	createDocument, type DocumentCreation, type DocumentRepair, repairDocument,
+} from './core/create-document.js';
+export {differenceBetween, listChanges, listChangesBetween} from './core/document-history.js';
+export {
+	DocumentInForce, type DocumentListener, type DocumentStatus, type OfferOutcome,
+} from './core/document-in-force.js';
+export {documentName, DocumentStore} from './core/document-store.js';
+export {editSection, type SectionEdit} from './core/edit-section.js';
+export {DocumentFollower, type FollowDocumentOptions} from './core/follow-document.js';
