Add dissemination of the governing document

The platform's rates allow no watch per proxy. The age of the last confirmation is taken from answers to own pings only, so that datagrams that waited in a socket make no version look current.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -2,6 +2,7 @@
  * Coordination parts for a fleet of database proxies: no sockets, every outside thing is a port.
  */
 export type * from './admission/index.js';
+export * from './dissemination/index.js';
 export type * from './document/index.js';
 export type * from './errors/index.js';
 export type * from './group/index.js';
--- a/packages/coordination/src/membership/core/datagram-receiver.ts
+++ b/packages/coordination/src/membership/core/datagram-receiver.ts
@@ -77,7 +77,17 @@
 		}
 	}
 
-	#noteDocumentVersion({fromHostId, fromStartedUnixMs, documentVersion, documentConfirmedAgeMs}: DecodedDatagram): void {
+	/**
+	 * Age of the sender's confirmation at the latest. Only answers count, since a datagram may have
+	 * waited in the socket for any time; an answer is at most as old as the question.
+	 */
+	#confirmedAgeMs({message, documentConfirmedAgeMs}: DecodedDatagram): number | undefined {
+		const elapsedMs = message.case === 'ack' ? this.parts.prober.elapsedMs(message.value.sequence) : undefined;
+		return elapsedMs === undefined || documentConfirmedAgeMs === undefined ? undefined : elapsedMs + documentConfirmedAgeMs;
+	}
+
+	#noteDocumentVersion(datagram: DecodedDatagram): void {
+		const {fromHostId, fromStartedUnixMs, documentVersion} = datagram;
 		const known = this.context.table.get(fromHostId);
 		if (known?.startedUnixMs !== fromStartedUnixMs) {
 			return;
@@ -88,8 +98,9 @@
 			this.context.table.set(from);
 		}
 
+		const confirmedAgeMs = this.#confirmedAgeMs(datagram);
 		for (const listener of this.documentListeners) {
-			listener(documentVersion, from, documentConfirmedAgeMs);
+			listener(documentVersion, from, confirmedAgeMs);
 		}
 	}
 }
--- a/packages/coordination/src/membership/core/prober.ts
+++ b/packages/coordination/src/membership/core/prober.ts
@@ -13,6 +13,7 @@
 export class Prober {
 	#lastSequence = 0n;
 	readonly #pending = new Set<bigint>();
+	readonly #sentMs = new Map<bigint, number>();
 	readonly #relays = new Map<bigint, Relay>();
 
 	constructor(
@@ -45,6 +46,8 @@
 	ping(address: string, options: SendOptions): bigint {
 		this.#lastSequence += 1n;
 		const sequence = this.#lastSequence;
+		this.#sentMs.set(sequence, this.context.timers.nowMs());
+		this.#forgetLater(this.#sentMs, sequence);
 		this.sender.send(address, {
 			case: 'ping', value: create(GossipPingSchema, {sequence, targetHostId: options.toHostId ?? ''}),
 		}, options);
@@ -66,6 +69,12 @@
 		}
 	}
 
+	/** Time since the ping with this sequence number was sent; undefined if it is unknown or long ago. */
+	elapsedMs(sequence: bigint): number | undefined {
+		const sentMs = this.#sentMs.get(sequence);
+		return sentMs === undefined ? undefined : this.context.timers.nowMs() - sentMs;
+	}
+
 	receiveAck(sequence: bigint): void {
 		this.#pending.delete(sequence);
 		const relay = this.#relays.get(sequence);
@@ -78,8 +87,12 @@
 	receivePingRequest(fromAddress: string, fromHostId: string, request: GossipPingRequest): void {
 		const sequence = this.ping(request.targetAddress, {toHostId: request.targetHostId});
 		this.#relays.set(sequence, {address: fromAddress, hostId: fromHostId, sequence: request.sequence});
+		this.#forgetLater(this.#relays, sequence);
+	}
+
+	#forgetLater(map: Map<bigint, unknown>, sequence: bigint): void {
 		this.context.timers.after(this.context.settings.probeTimeoutMs * 3, () => {
-			this.#relays.delete(sequence);
+			map.delete(sequence);
 		});
 	}
 
