--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -5,6 +5,7 @@
 export * from './document/index.js';
 export * from './errors/index.js';
 export * from './group/index.js';
+export * from './dissemination/index.js';
 export * from './membership/index.js';
 export * from './ownership/index.js';
 export * from './platform/index.js';
