--- a/packages/coordination/src/admission/core/fair-admission.ts
+++ b/packages/coordination/src/admission/core/fair-admission.ts
@@ -6,13 +6,13 @@
 	type RefusalKind, type WorkClass, type WorkResult,
 } from '../definitions.js';
 import {AdmissionStatistics} from '../domain/admission-statistics.js';
-import {expireAt} from '../domain/expiry.js';
+import {ClassAssignment} from '../domain/class-assignment.js';
 import {type QueuedWork} from '../domain/queued-work.js';
 import {finalRefusal, refusal} from '../domain/refusals.js';
 import {ServiceTimes} from '../domain/service-times.js';
 import {SlotAllocation, type RunningCounts} from '../domain/slot-allocation.js';
 import {WorkClassifier} from '../domain/work-classifier.js';
-import {WorkQueues} from '../domain/work-queues.js';
+import {WaitingWork} from './waiting-work.js';
 
 export type FairAdmissionOptions = {
 	timers: TimerService;
@@ -35,7 +35,8 @@
 export class FairAdmission implements ObservableAdmission {
 	readonly #classifier: WorkClassifier;
 	readonly #slots: SlotAllocation;
-	readonly #queues: WorkQueues;
+	readonly #assignment: ClassAssignment;
+	readonly #waiting: WaitingWork;
 	readonly #times = new ServiceTimes();
 	readonly #statistics = new AdmissionStatistics();
 	readonly #running: RunningCounts = {long: 0, other: 0};
@@ -46,11 +47,18 @@
 	constructor(private readonly options: FairAdmissionOptions) {
 		this.#classifier = options.classifier ?? new WorkClassifier();
 		this.#slots = new SlotAllocation(options.limits);
-		this.#queues = new WorkQueues(this.#slots.limits.queueLength);
+		this.#assignment = new ClassAssignment(this.#classifier);
+		this.#waiting = new WaitingWork({
+			timers: options.timers,
+			statistics: this.#statistics,
+			maxLength: this.#slots.limits.queueLength,
+			refuse: (workClass, kind) => this.#refuse(workClass, kind),
+			expiryKind: () => this.#state === 'paused' ? 'paused' : 'deadline-cannot-be-met',
+		});
 	}
 
 	get queued(): number {
-		return this.#queues.length;
+		return this.#waiting.queues.length;
 	}
 
 	get running(): number {
@@ -59,7 +67,7 @@
 
 	async admit(request: AdmissionRequest): Promise<Result<Permit, Refusal>> {
 		const nowMs = this.options.timers.nowMs();
-		const workClass = this.#classifier.classify(request.statementName, request.workClass);
+		const workClass = this.#assignment.classOf(request);
 		if (Number.isNaN(request.deadlineMs)) {
 			return this.#refuseFinally(workClass, 'invalid-request');
 		}
@@ -68,7 +76,7 @@
 			return this.#refuseFinally(workClass, 'deadline-cannot-be-met');
 		}
 
-		const estimateMs = this.#classifier.estimateMs(request.statementName) ?? this.#times.meanMs(workClass);
+		const estimateMs = this.#estimateMs(request, workClass);
 		if (this.#canStartNow(workClass, nowMs)) {
 			return this.#isHopeless(workClass, estimateMs, request.deadlineMs - nowMs)
 				? this.#refuse(workClass, 'deadline-cannot-be-met')
@@ -80,7 +88,7 @@
 
 	setLimits(limits: AdmissionLimits): void {
 		this.#slots.setLimits(limits);
-		this.#queues.maxLength = this.#slots.limits.queueLength;
+		this.#waiting.queues.maxLength = this.#slots.limits.queueLength;
 		this.#dispatch();
 	}
 
@@ -107,9 +115,7 @@
 	close(): void {
 		this.#state = 'closed';
 		this.#ramp?.cancel();
-		for (const work of this.#queues.values()) {
-			this.#dropQueued(work, 'paused');
-		}
+		this.#waiting.dropAll('paused');
 	}
 
 	stats(): AdmissionStats {
@@ -122,8 +128,8 @@
 		}
 
 		return workClass === 'long'
-			? this.#queues.of('long').length === 0 && this.#slots.canStartLong(this.#running, nowMs)
-			: this.#queues.otherLength === 0 && this.#slots.canStartOther(this.#running, nowMs);
+			? this.#waiting.queues.of('long').length === 0 && this.#slots.canStartLong(this.#running, nowMs)
+			: this.#waiting.queues.otherLength === 0 && this.#slots.canStartOther(this.#running, nowMs);
 	}
 
 	/** Whether the work would not finish in time; an idle pool and a small share of probes try anyway. */
@@ -137,37 +143,26 @@
 			return this.#refuse(workClass, 'paused');
 		}
 
-		const waitMs = this.#state === 'paused' ? 0 : this.#waitMs(workClass, this.#queues.ahead(workClass, request.callerId), nowMs);
+		const waitMs = this.#state === 'paused' ? 0 : this.#waitMs(workClass, this.#waiting.queues.ahead(workClass, request.callerId), nowMs);
 		if (waitMs + estimateMs > request.deadlineMs - nowMs) {
 			return this.#refuse(workClass, 'deadline-cannot-be-met');
 		}
 
-		const {fits, displaced} = this.#queues.roomFor(workClass, request.callerId);
-		if (displaced) {
-			this.#settleRefused(displaced, 'overloaded');
-		}
-
-		if (!fits) {
-			return this.#refuse(workClass, this.#state === 'paused' ? 'paused' : 'overloaded');
-		}
+		return this.#waiting.add(request, workClass, estimateMs)
+			?? this.#refuse(workClass, this.#state === 'paused' ? 'paused' : 'overloaded');
+	}
 
-		return new Promise(resolve => {
-			const work: QueuedWork = {
-				request, workClass, estimateMs, queuedAtMs: nowMs, expiry: undefined, settle: resolve,
-			};
-			work.expiry = expireAt(this.options.timers, request.deadlineMs - estimateMs, () => {
-				this.#dropQueued(work, this.#state === 'paused' ? 'paused' : 'deadline-cannot-be-met');
-			});
-			this.#queues.add(work);
-			this.#statistics.of(workClass).queued += 1;
-		});
+	/** Expected service time; that of an unknown statement is taken as short unless it is stated long. */
+	#estimateMs({statementName}: AdmissionRequest, workClass: WorkClass): number {
+		const unknownMs = workClass === 'long' ? this.#times.meanMs('long') : this.#classifier.usualMs;
+		return this.#classifier.estimateMs(statementName) ?? unknownMs;
 	}
 
 	/** Expected time until `ahead` requests and one that runs have given their slots back. */
 	#waitMs(workClass: WorkClass, ahead: number, nowMs: number): number {
 		const slots = workClass === 'long'
 			? this.#slots.longCap(nowMs)
-			: this.#slots.otherSlots(nowMs, this.#running.long + this.#queues.of('long').length);
+			: this.#slots.otherSlots(nowMs, this.#running.long + this.#waiting.queues.of('long').length);
 		return ((ahead + 1) * this.#times.meanMs(workClass)) / slots;
 	}
 
@@ -184,38 +179,34 @@
 	}
 
 	#takeNext(nowMs: number): QueuedWork | undefined {
-		const longWaits = this.#queues.of('long').length > 0 && this.#slots.canStartLong(this.#running, nowMs);
-		const otherWaits = this.#queues.otherLength > 0 && this.#slots.canStartOther(this.#running, nowMs);
+		const longWaits = this.#waiting.queues.of('long').length > 0 && this.#slots.canStartLong(this.#running, nowMs);
+		const otherWaits = this.#waiting.queues.otherLength > 0 && this.#slots.canStartOther(this.#running, nowMs);
 		// With one slot both pools share it; otherwise long work cannot take more than its own slots.
 		const otherFirst = otherWaits && this.#slots.limits.slots === 1 && this.#longPassedOver < maxLongPassedOver;
 		if (longWaits && !otherFirst) {
 			this.#longPassedOver = 0;
-			return this.#queues.nextLong(this.#times.meanMs('long'));
+			return this.#waiting.takeLong(this.#times.meanMs('long'));
 		}
 
 		this.#longPassedOver += longWaits ? 1 : 0;
-		return otherWaits ? this.#queues.nextOther(this.#times.meanMs('short')) : undefined;
+		return otherWaits ? this.#waiting.takeOther(this.#times.meanMs('short')) : undefined;
 	}
 
 	#startQueued(work: QueuedWork, nowMs: number): void {
-		this.#statistics.of(work.workClass).queued -= 1;
 		const {request, queuedAtMs} = work;
-		const workClass = this.#classifier.classify(request.statementName, request.workClass);
-		if (workClass === 'long' && work.workClass !== 'long') {
-			// The statement proved long while this request waited.
-			work.workClass = 'long';
-			this.#queues.add(work);
-			this.#statistics.of('long').queued += 1;
+		const workClass = this.#assignment.classOf(request);
+		if (workClass !== work.workClass) {
+			this.#waiting.putBack(work, workClass);
 			return;
 		}
 
-		work.expiry?.cancel();
-		if (this.#isHopeless(work.workClass, this.#neededMs(work), request.deadlineMs - nowMs)) {
-			this.#settleRefused(work, 'deadline-cannot-be-met', 0);
+		if (this.#isHopeless(workClass, this.#neededMs(work), request.deadlineMs - nowMs)) {
+			this.#waiting.settleRefused(work, 'deadline-cannot-be-met');
 			return;
 		}
 
-		work.settle(ok(this.#start(request, work.workClass, queuedAtMs, nowMs)));
+		work.expiry?.cancel();
+		work.settle(ok(this.#start(request, workClass, queuedAtMs, nowMs)));
 	}
 
 	/** Cautious service time, but at most half of the whole time that the caller gave, or the mean. */
@@ -228,6 +219,7 @@
 	#start(request: AdmissionRequest, workClass: WorkClass, queuedAtMs: number, nowMs: number): Permit {
 		const pool = workClass === 'long' ? 'long' : 'other';
 		this.#running[pool] += 1;
+		this.#assignment.onStart(request, workClass);
 		this.#statistics.onAdmitted(workClass, nowMs - queuedAtMs);
 		let released = false;
 		return {
@@ -237,20 +229,24 @@
 				if (!released) {
 					released = true;
 					this.#running[pool] -= 1;
-					this.#onRelease(request.statementName, workClass, result, nowMs);
+					this.#onRelease(request, workClass, result, nowMs);
 				}
 			},
 		};
 	}
 
-	#onRelease(statementName: string, workClass: WorkClass, result: WorkResult, startedMs: number): void {
+	#onRelease(request: AdmissionRequest, workClass: WorkClass, result: WorkResult, startedMs: number): void {
 		const nowMs = this.options.timers.nowMs();
 		this.#statistics.of(workClass).running -= 1;
-		if (result === 'completed') {
-			this.#classifier.observe(statementName, nowMs - startedMs);
+		// Runs of unknown statements say nothing of the usual ones.
+		if (result === 'completed' && (request.workClass !== undefined || this.#classifier.isProven(request.statementName))) {
 			this.#times.observe(workClass, nowMs - startedMs);
 		}
 
+		if (this.#assignment.onEnd(request, result === 'completed' ? nowMs - startedMs : undefined)) {
+			this.#waiting.reassign(request.statementName, waiting => this.#assignment.classOf(waiting));
+		}
+
 		// Long statements vary too much to say something of the instance.
 		if (workClass !== 'long') {
 			const {slowdown, usualMs} = this.#classifier;
@@ -272,23 +268,11 @@
 		});
 	}
 
-	#dropQueued(work: QueuedWork, kind: RefusalKind): void {
-		if (this.#queues.remove(work)) {
-			this.#settleRefused(work, kind);
-		}
-	}
-
-	#settleRefused(work: QueuedWork, kind: RefusalKind, queuedChange = -1): void {
-		work.expiry?.cancel();
-		this.#statistics.of(work.workClass).queued += queuedChange;
-		work.settle(this.#refuse(work.workClass, kind));
-	}
-
 	#refuse(workClass: WorkClass, kind: RefusalKind): Result<Permit, Refusal> {
 		this.#statistics.onRefused(workClass, kind);
 		const drainMs = kind === 'paused'
 			? pausedRetryMs
-			: this.#waitMs(workClass, workClass === 'long' ? this.#queues.of('long').length : this.#queues.otherLength, this.options.timers.nowMs());
+			: this.#waitMs(workClass, workClass === 'long' ? this.#waiting.queues.of('long').length : this.#waiting.queues.otherLength, this.options.timers.nowMs());
 		return err(refusal(kind, drainMs, this.options.random));
 	}
 
--- a/packages/coordination/src/admission/domain/class-priority.ts
+++ b/packages/coordination/src/admission/domain/class-priority.ts
@@ -7,9 +7,12 @@
 
 /**
  * A waiting class is served at the latest after this many choices of other classes: short work keeps
- * at least a fifth and browse a twentieth of the slots under a flood of higher classes.
+ * at least a tenth and browse a twentieth of the slots under a flood of higher classes.
  */
-const maxPassedOver: Readonly<Record<PriorityClass, number>> = {critical: 0, short: 4, browse: 19};
+const maxPassedOver: Readonly<Record<PriorityClass, number>> = {critical: 0, short: 9, browse: 19};
+
+/** Share of the slots, and of the queue, that a class keeps under a flood of higher ones. */
+export const minShare = (workClass: PriorityClass): number => 1 / (maxPassedOver[workClass] + 1);
 
 /** Strict priority between classes with a minimum share for each. */
 export class ClassPriority {
--- a/packages/coordination/src/admission/domain/work-classifier.ts
+++ b/packages/coordination/src/admission/domain/work-classifier.ts
@@ -7,6 +7,8 @@
 	deviationMs: number;
 	/** Slow average of the logarithm of the service time, which single outliers hardly move. */
 	logBaseline: number;
+	/** Has run often enough to tell whether it is long. */
+	proven: boolean;
 	long: boolean;
 };
 
@@ -25,8 +27,14 @@
 const sampleWeight = 0.1;
 /** Share of a new sample in the baseline: slow enough that growth of the service time shows against it. */
 const baselineWeight = 0.02;
-/** Samples of all statements before the usual time means anything. */
+/** Samples of all statements before the usual time means anything while only one statement is known. */
 const minUsualSamples = 20;
+/** Samples of a statement before its class is known. */
+const minStatementSamples = 3;
+/** The usual time is a lower quartile, so that it stays that of short work until most runs are long. */
+const usualQuantile = 0.25;
+/** Observations between two looks at the quartile over statement names, once there are more names than this. */
+const nameQuartileInterval = 16;
 /** Smallest relative step of the usual time. */
 const usualStep = 0.02;
 /** Shorter times are below the resolution of the measurement. */
@@ -42,15 +50,18 @@
 	readonly #enterLongRatio: number;
 	readonly #leaveLongRatio: number;
 	readonly #minLongMs: number;
-	#usualMs = 0;
+	/** Running quartile over runs: right when most runs are short. */
+	#usualOfRunsMs = 0;
+	/** Quartile over statement names: right when long runs outnumber the short ones, e.g. at night. */
+	#usualOfNamesMs = Infinity;
 	#samples = 0;
 	#logSlowdown = 0;
 
 	constructor(options: WorkClassifierOptions = {}) {
 		this.#maxStatements = options.maxStatements ?? 512;
-		this.#enterLongRatio = options.enterLongRatio ?? 8;
-		this.#leaveLongRatio = options.leaveLongRatio ?? 4;
-		this.#minLongMs = options.minLongMs ?? 20;
+		this.#enterLongRatio = options.enterLongRatio ?? 12;
+		this.#leaveLongRatio = options.leaveLongRatio ?? 6;
+		this.#minLongMs = options.minLongMs ?? 50;
 	}
 
 	/** Statement names known at present. */
@@ -58,9 +69,9 @@
 		return this.#statements.size;
 	}
 
-	/** Running median of the service time of all statements, in ms; 0 before the first sample. */
+	/** Service time of usual work in ms: the lower quartile of all runs or of all statements; 0 before the first sample. */
 	get usualMs(): number {
-		return this.#usualMs;
+		return Math.min(this.#usualOfRunsMs, this.#usualOfNamesMs);
 	}
 
 	/** Recent service time over the baseline of the same statements; 1 if the instance is as usual. */
@@ -77,6 +88,11 @@
 		return this.#statements.get(statementName)?.long ? 'long' : stated ?? 'short';
 	}
 
+	/** Whether the statement has run often enough to tell whether it is long. */
+	isProven(statementName: string): boolean {
+		return this.#statements.get(statementName)?.proven ?? false;
+	}
+
 	/** Expected service time in ms; `undefined` for an unknown statement. */
 	estimateMs(statementName: string): number | undefined {
 		return this.#statements.get(statementName)?.meanMs;
@@ -98,32 +114,45 @@
 
 		this.#moveUsual(sampleMs);
 		const updated = known ? updateEstimate(known, sampleMs) : firstEstimate(sampleMs);
-		updated.long = this.#isLong(updated);
 		this.#store(statementName, updated);
+		if (this.#statements.size <= nameQuartileInterval || this.#samples % nameQuartileInterval === 0) {
+			this.#updateUsualOfNames();
+		}
+
+		updated.proven ||= updated.samples >= minStatementSamples
+			&& (this.#samples >= minUsualSamples || this.#usualOfNamesMs < Infinity);
+		updated.long = this.#isLong(updated);
 	}
 
-	#isLong({meanMs, long}: StatementEstimate): boolean {
-		if (this.#samples < minUsualSamples) {
+	#isLong({meanMs, long, proven}: StatementEstimate): boolean {
+		if (!proven) {
 			return long;
 		}
 
 		// When the whole instance is slow, no statement becomes long for it.
-		const ratio = meanMs / (this.#usualMs * Math.max(1, this.slowdown));
+		const ratio = meanMs / (this.usualMs * Math.max(1, this.slowdown));
 		return meanMs >= this.#minLongMs && ratio > (long ? this.#leaveLongRatio : this.#enterLongRatio);
 	}
 
-	/** Moves the running median by a relative step, large at first, towards the sample. */
+	/** Moves the running quartile by a relative step, large at first, towards the sample. */
 	#moveUsual(sampleMs: number): void {
 		this.#samples += 1;
-		if (this.#usualMs === 0) {
-			this.#usualMs = sampleMs;
+		if (this.#usualOfRunsMs === 0) {
+			this.#usualOfRunsMs = sampleMs;
 			return;
 		}
 
-		const factor = 1 + Math.max(usualStep, 1 / Math.sqrt(this.#samples));
-		this.#usualMs = sampleMs > this.#usualMs
-			? Math.min(sampleMs, this.#usualMs * factor)
-			: Math.max(sampleMs, this.#usualMs / factor);
+		const step = Math.max(usualStep, 1 / Math.sqrt(this.#samples));
+		this.#usualOfRunsMs = sampleMs > this.#usualOfRunsMs
+			? Math.min(sampleMs, this.#usualOfRunsMs * (1 + (step * usualQuantile)))
+			: Math.max(sampleMs, this.#usualOfRunsMs / (1 + (step * (1 - usualQuantile))));
+	}
+
+	#updateUsualOfNames(): void {
+		const known = [...this.#statements.values()].filter(({samples}) => samples >= minStatementSamples);
+		const logs = known.map(({logBaseline}) => logBaseline).sort((a, b) => a - b);
+		// One statement alone is always the usual one.
+		this.#usualOfNamesMs = logs.length < 2 ? Infinity : Math.exp(logs[Math.floor(logs.length * usualQuantile)]!);
 	}
 
 	#store(statementName: string, estimate: StatementEstimate): void {
@@ -137,7 +166,7 @@
 }
 
 const firstEstimate = (sampleMs: number): StatementEstimate => ({
-	samples: 1, meanMs: sampleMs, deviationMs: sampleMs / 4, logBaseline: Math.log(sampleMs), long: false,
+	samples: 1, meanMs: sampleMs, deviationMs: sampleMs / 4, logBaseline: Math.log(sampleMs), proven: false, long: false,
 });
 
 const updateEstimate = (known: StatementEstimate, sampleMs: number): StatementEstimate => {
@@ -148,6 +177,7 @@
 		meanMs: known.meanMs + (weight * (sampleMs - known.meanMs)),
 		deviationMs: known.deviationMs + (weight * (Math.abs(sampleMs - known.meanMs) - known.deviationMs)),
 		logBaseline: known.logBaseline + (Math.max(baselineWeight, 1 / samples) * (Math.log(sampleMs) - known.logBaseline)),
+		proven: known.proven,
 		long: known.long,
 	};
 };
--- a/packages/coordination/src/admission/domain/work-queues.ts
+++ b/packages/coordination/src/admission/domain/work-queues.ts
@@ -1,5 +1,5 @@
 import {type WorkClass} from '../definitions.js';
-import {ClassPriority, priorityClasses} from './class-priority.js';
+import {ClassPriority, minShare, priorityClasses} from './class-priority.js';
 import {ClassQueue} from './class-queue.js';
 import {type QueuedWork} from './queued-work.js';
 
@@ -53,7 +53,8 @@
 
 	/**
 	 * Whether a new request fits. When it does not, gives the queued request that makes room for it, if
-	 * there is one: of a lower class, or else of the caller with the longest queue in the same class.
+	 * there is one: of a lower class that holds more than its minimum share of the queue, or else of the
+	 * caller with the longest queue in the same class.
 	 */
 	roomFor(workClass: WorkClass, callerId: string): {fits: boolean; displaced?: QueuedWork} {
 		const queue = this.#queues[workClass];
@@ -77,7 +78,8 @@
 		}
 
 		const lower = priorityClasses.slice(priorityClasses.indexOf(workClass) + 1);
-		const displaceable = lower.findLast(candidate => this.#queues[candidate].length > 0);
+		const displaceable = lower.findLast(candidate =>
+			this.#queues[candidate].length > Math.floor(this.maxLength * minShare(candidate)));
 		return displaceable && this.#queues[displaceable].takeFromLongest();
 	}
 
