Add the choice of the replica for a read

Cause: reads need a replica that is near and not loaded, chosen by several owners at the same time from load reports of different age.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -8,6 +8,7 @@
 export type * from './membership/index.js';
 export type * from './ownership/index.js';
 export * from './platform/index.js';
+export * from './read-routing/index.js';
 export * from './retry-budget/index.js';
 export type * from './session-token/index.js';
 export * from './timer/index.js';
