--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -10,6 +10,7 @@
 export * from './ownership/index.js';
 export * from './platform/index.js';
 export * from './random/index.js';
+export * from './read-routing/index.js';
 export * from './retry-budget/index.js';
 export * from './session-token/index.js';
 export * from './timer/index.js';
