--- a/packages/load/src/checker/domain/statements.ts
+++ b/packages/load/src/checker/domain/statements.ts
@@ -15,7 +15,7 @@
 const writes: Record<string, Describe> = {
 	hold_lane: ([bookingId, lane, slot, caller]) => booking(bookingId, {lane, slot, caller}),
 	amend_booking: ([bookingId, note]) => booking(bookingId, {note}),
-	cancel_booking: ([bookingId]) => booking(bookingId, {}),
+	cancel_booking: ([bookingId]) => booking(bookingId, {state: 'cancelled'}),
 	pay_deposit: ([paymentId, bookingId, amountCents]) => ({
 		table: 'payments', rowId: String(paymentId), columns: {paymentId, bookingId, amountCents},
 	}),
--- a/packages/load/src/deployment/definitions.ts
+++ b/packages/load/src/deployment/definitions.ts
@@ -36,7 +36,8 @@
 	answerDelayMs?: number;
 	crossAnswers?: boolean;
 	dropMidRows?: boolean;
-	silentConnections?: boolean;
+	/** Connections that stop answering for good, oldest first. */
+	silentConnections?: 'all' | number;
 	leaving?: boolean;
 	replicationDelayMs?: number;
 	applyLagMs?: number;
--- a/packages/load/src/workload/domain/session-plan.ts
+++ b/packages/load/src/workload/domain/session-plan.ts
@@ -10,7 +10,7 @@
 const boardAgesMs = [1000, 2000, 5000];
 
 /**
- * Chooses a session's steps: holds, payments and amendments of its own bookings, and after each
+ * Chooses a session's steps: holds, payments, amendments and cancellations of its own bookings, and after each
  * write a read of what it wrote, so that every write is checked by the session's next request.
  */
 export class SessionPlan implements StepPlan {
@@ -43,6 +43,10 @@
 			this.#bookings.push({bookingId: first ?? '', lane: second ?? ''});
 		}
 
+		if (step.statement === 'cancel_booking') {
+			this.#bookings.splice(this.#bookings.findIndex(({bookingId}) => bookingId === first), 1);
+		}
+
 		if (step.access === 'write') {
 			this.#nextRead = step.statement === 'pay_deposit'
 				? this.#read('list_payments', second)
@@ -64,6 +68,10 @@
 			return this.#write('amend_booking', [booking.bookingId, `note ${this.#nextId('n')}`]);
 		}
 
+		if (chance < 0.48) {
+			return this.#write('cancel_booking', [booking.bookingId]);
+		}
+
 		if (chance < 0.65) {
 			return this.#board(booking);
 		}
