--- a/packages/coordination/src/admission/domain/refusals.ts
+++ b/packages/coordination/src/admission/domain/refusals.ts
@@ -1,4 +1,5 @@
-import {jitteredRetryAfterMs, type RandomSource} from '../../retry-budget/index.js';
+import {type RandomSource} from '../../random/index.js';
+import {jitteredRetryAfterMs} from '../../retry-budget/index.js';
 import {type Refusal, type RefusalKind} from '../definitions.js';
 
 const messages: Readonly<Record<RefusalKind, string>> = {
--- a/packages/coordination/src/retry-budget/definitions.ts
+++ b/packages/coordination/src/retry-budget/definitions.ts
@@ -1,6 +1,3 @@
-/** Uniformly distributed numbers from 0 (included) to 1 (excluded). */
-export type RandomSource = () => number;
-
 export type RetryBudgetOptions = {
 	/** Retries earned by each success; 0.1 allows one retry for ten successes. */
 	ratio: number;
--- a/packages/proxy/src/daemon/in-flight.ts
+++ b/packages/proxy/src/daemon/in-flight.ts
@@ -1,7 +1,7 @@
 /** Counts requests in flight, so that a shutdown can wait for them. */
 export class InFlight {
 	#count = 0;
-	#idle: Array<() => void> = [];
+	readonly #idle: Array<() => void> = [];
 
 	get count(): number {
 		return this.#count;
@@ -14,9 +14,9 @@
 		} finally {
 			this.#count -= 1;
 			if (this.#count === 0) {
-				this.#idle.splice(0).forEach(resolve => {
+				for (const resolve of this.#idle.splice(0)) {
 					resolve();
-				});
+				}
 			}
 		}
 	};
--- a/packages/proxy/src/owner/core/owner-registry.ts
+++ b/packages/proxy/src/owner/core/owner-registry.ts
@@ -64,7 +64,7 @@
 
 	close(): void {
 		this.#closed = true;
-		for (const {owner} of this.#owners) {
+		for (const owner of this.all()) {
 			owner.stop();
 		}
 
