Use one way to spread the governing document

Cause: the document and the dissemination folders each had a follower of the platform; only the one over gossip keeps the platform's calls bounded (two watchers for each failure domain). Change: remove `DocumentFollower`; `InForceReceiver` connects dissemination to `DocumentInForce`. Its test now drives dissemination over a gossip network and asserts the same outcomes.

--- a/packages/coordination/src/dissemination/core/content-fetcher.ts
+++ b/packages/coordination/src/dissemination/core/content-fetcher.ts
@@ -1,4 +1,5 @@
-import {type Member, sample} from '../../membership/index.js';
+import {type Member} from '../../membership/index.js';
+import {sample} from '../../random/index.js';
 import {backoffMs} from '../domain/backoff.js';
 import {type DisseminationContext, type DocumentContent} from '../definitions.js';
 import {type PlatformDocuments} from './platform-documents.js';
--- a/packages/coordination/src/dissemination/core/platform-documents.ts
+++ b/packages/coordination/src/dissemination/core/platform-documents.ts
@@ -1,10 +1,8 @@
+import {documentName} from '../../document/index.js';
 import {type PlatformObject} from '../../platform/index.js';
 import {type DisseminationContext, type DocumentContent} from '../definitions.js';
 import {withTimeout} from './with-timeout.js';
 
-/** Name of the governing document at the platform. */
-export const documentName = 'governing';
-
 export type PlatformSnapshot = {document: DocumentContent | undefined; revision: number};
 
 const toDocument = ({version, value}: Pick<PlatformObject, 'version' | 'value'>): DocumentContent => ({version, content: value});
--- a/packages/coordination/src/dissemination/definitions.ts
+++ b/packages/coordination/src/dissemination/definitions.ts
@@ -1,8 +1,9 @@
 import {type Result} from 'neverthrow';
 import {
-	type DocumentConfirmation, type DocumentVersionListener, type GossipLogger, type MembershipView, type RandomSource,
+	type DocumentConfirmation, type DocumentVersionListener, type GossipLogger, type MembershipView,
 } from '../membership/index.js';
 import {type Platform} from '../platform/index.js';
+import {type RandomSource} from '../random/index.js';
 import {type TimerService} from '../timer/index.js';
 
 /** A version of the governing document with its content, which is opaque here. */
@@ -15,7 +16,7 @@
 };
 
 /** The document that this process works by. */
-export type DocumentInForce = {
+export type DocumentReceiver = {
 	/** Version in force; 0 for none. */
 	readonly version: number;
 	/** Puts the content in force, or refuses it and leaves `version` as it is. */
@@ -59,7 +60,7 @@
 	platform: Platform;
 	membership: DocumentGossip;
 	peers: PeerDocuments;
-	inForce: DocumentInForce;
+	inForce: DocumentReceiver;
 	timers: TimerService;
 	random: RandomSource;
 	settings?: Partial<DisseminationSettings>;
--- a/packages/coordination/src/dissemination/domain/backoff.ts
+++ b/packages/coordination/src/dissemination/domain/backoff.ts
@@ -1,4 +1,4 @@
-import {type RandomSource} from '../../membership/index.js';
+import {type RandomSource} from '../../random/index.js';
 import {type DisseminationSettings} from '../definitions.js';
 
 /** Delay before attempt number `attempt` (from 1): doubles up to the bound, half of it at random. */
--- /dev/null
+++ b/packages/coordination/src/dissemination/infra/in-force-receiver.ts
@@ -0,0 +1,21 @@
+import {type DocumentError, type DocumentInForce} from '../../document/index.js';
+import {type DocumentReceiver} from '../definitions.js';
+
+/** Puts what dissemination brings into force: stored values of the platform and contents of peers. */
+export class InForceReceiver implements DocumentReceiver {
+	constructor(private readonly inForce: DocumentInForce, private readonly onError: (error: DocumentError) => void = () => undefined) {}
+
+	get version(): number {
+		return this.inForce.version;
+	}
+
+	offer(version: number, content: unknown): void {
+		// Peers send text, which may be a delta; the platform gives the stored value.
+		const offered = typeof content === 'string'
+			? this.inForce.offerContent({version, content})
+			: this.inForce.offer({version, value: content});
+		if (offered.isErr()) {
+			this.onError(offered.error);
+		}
+	}
+}
--- a/packages/coordination/src/document/definitions.ts
+++ b/packages/coordination/src/document/definitions.ts
@@ -86,20 +86,5 @@
 /** A document at one version. */
 export type VersionedDocument = {version: number; stored: StoredDocument; document: GoverningDocument};
 
-/** What a peer says about the document that it has in force. */
-export type PeerDocument = {
-	version: number;
-	/** Content as `DocumentInForce` gives it to peers; absent if the peer has nothing newer. */
-	content?: string;
-	/** How long ago the peer last confirmed its version, in ms; absent if it never did. */
-	confirmationAgeMs?: number;
-};
-
-/** Asks other proxies for the document that they have in force. */
-export type PeerDocuments = {
-	/** Answers of several peers; empty if none answered. */
-	ask(knownVersion: number): Promise<PeerDocument[]>;
-};
-
 /** Document with the platform, for the use cases. */
 export type DocumentResult<T> = ResultAsync<T, DocumentError>;
--- a/packages/coordination/src/document/index.ts
+++ b/packages/coordination/src/document/index.ts
@@ -1,7 +1,7 @@
 /** The operators' governing document: schema, validation, edits, history and the version in force. */
 export type {
 	ChangeRecord, DocumentDifference, DocumentError, DocumentErrorKind, DocumentMistake, DocumentResult, GoverningDocument,
-	HistoryEntry, PeerDocument, PeerDocuments, SectionName, SectionTexts, StoredDocument, VersionedDocument,
+	HistoryEntry, SectionName, SectionTexts, StoredDocument, VersionedDocument,
 } from './definitions.js';
 export {type ChangeStatement} from './domain/change.js';
 export {defaultDocument, type DefaultDocumentOptions, sectionTexts} from './domain/default-document.js';
@@ -23,4 +23,3 @@
 } from './core/document-in-force.js';
 export {documentName, DocumentStore} from './core/document-store.js';
 export {editSection, type SectionEdit} from './core/edit-section.js';
-export {DocumentFollower, type FollowDocumentOptions} from './core/follow-document.js';
--- a/packages/coordination/src/read-routing/definitions.ts
+++ b/packages/coordination/src/read-routing/definitions.ts
@@ -1,4 +1,4 @@
-import {type RandomSource} from '../retry-budget/index.js';
+import {type RandomSource} from '../random/index.js';
 import {type TimerService} from '../timer/index.js';
 
 /** A replica as the owner knows it when a read arrives. */
--- a/packages/coordination/test/document/document-in-force.test.ts
+++ b/packages/coordination/test/document/document-in-force.test.ts
@@ -1,6 +1,8 @@
+import {ok} from 'neverthrow';
 import {test} from 'tap';
 import {
-	DocumentFollower, DocumentInForce, DocumentStore, ManualTimerService, MemoryPlatform, type PeerDocument, repairDocument,
+	DocumentDissemination, DocumentInForce, DocumentStore, GossipMembership, InForceReceiver, ManualTimerService, MemoryDatagramNetwork,
+	MemoryPlatform, repairDocument, type Platform,
 } from '../../src/index.js';
 import {
 	create, edit, FaultyPlatform, texts, timers,
@@ -78,34 +80,66 @@
 	}
 };
 
-test('a follower takes changes from the platform, and from peers while it is down', async t => {
+/** A member of a small fleet that spreads the document. */
+const member = (hostId: string, network: MemoryDatagramNetwork, inForce: DocumentInForce, options: {platform: Platform; peer?: DocumentInForce; errors: string[]}) => {
+	const membership = new GossipMembership({
+		self: {
+			hostId, startedUnixMs: 1, gossipAddress: hostId, peerAddress: hostId, failureDomain: 'a', region: 'r',
+		},
+		transport: network.create(hostId),
+		timers,
+		random: Math.random,
+		settings: {probeIntervalMs: 20},
+	});
+	const dissemination = new DocumentDissemination({
+		platform: options.platform,
+		membership,
+		inForce: new InForceReceiver(inForce, ({kind}) => {
+			options.errors.push(kind);
+		}),
+		peers: {
+			async fetch(_address, knownVersion) {
+				const content = options.peer?.contentFor(knownVersion);
+				return ok(content === undefined ? undefined : {version: options.peer!.version, content});
+			},
+		},
+		timers,
+		random: Math.random,
+		settings: {
+			watchWaitMs: 20, callTimeoutMs: 100, fetchJitterMs: 1, minBackoffMs: 5, maxBackoffMs: 20,
+		},
+	});
+	return {membership, dissemination};
+};
+
+// Guards against a proxy that starts in an outage without a document, and against a damaged one in force.
+test('changes come from the platform, and from peers while it is down', async t => {
 	const {platform, first, second} = await twoVersions();
 	const faulty = new FaultyPlatform(platform);
+	const network = new MemoryDatagramNetwork({timers, random: Math.random});
 	const peer = new DocumentInForce({timers});
 	peer.offer({version: 1, value: first.stored});
 	peer.offer({version: 2, value: second.stored});
 	const inForce = new DocumentInForce({timers});
 	const errors: string[] = [];
-	const follower = new DocumentFollower({
-		platform: faulty,
-		timers,
-		inForce,
-		waitMs: 20,
-		peers: {ask: async (knownVersion): Promise<PeerDocument[]> => [{version: peer.version, content: peer.contentFor(knownVersion), confirmationAgeMs: 0}]},
-		onError: ({kind}) => errors.push(kind),
-	});
+	const other = member('other', network, peer, {platform: faulty, errors: []});
+	const started = member('started', network, inForce, {platform: faulty, peer, errors});
 	faulty.down = true;
-	const running = follower.run();
+	other.membership.join([]);
+	started.membership.join(['other']);
+	const running = started.dissemination.start();
 	await until(() => inForce.version === 2);
-	t.ok(errors.every(kind => kind === 'platform-unavailable'));
+	await running;
+	t.same(errors, []);
 	faulty.down = false;
 	await edit(platform, {changeId: 'change-2', text: `${texts.databases}# more`});
 	await until(() => inForce.version === 3);
 	await platform.put('document', 'governing', {}, 3);
 	await until(() => errors.includes('damaged-document'));
 	t.match(inForce.status(), {version: 3, damagedVersion: 4});
-	follower.stop();
-	await running;
+	started.dissemination.stop();
+	started.membership.stop();
+	other.membership.stop();
 });
 
 // Guards against a damaged object that nobody can replace any more.
