--- a/packages/standin/src/bin/dogwood-endpoint.ts
+++ b/packages/standin/src/bin/dogwood-endpoint.ts
@@ -26,7 +26,8 @@
 };
 
 const run = async (file: string): Promise<void> => {
-	const endpoint = await startEndpoint(readSettings(file));
+	const settings = readSettings(file);
+	const endpoint = await startEndpoint(settings, log.child({database: settings.database, memberId: settings.memberId}));
 	const {endpointAddress, replicationAddress, controlAddress} = endpoint;
 	const stop = async () => {
 		log.info('Stopping.');
--- a/packages/standin/src/endpoint/core/group-member.ts
+++ b/packages/standin/src/endpoint/core/group-member.ts
@@ -121,7 +121,7 @@
 		this.#role = 'primary';
 		this.#verifiedTerm = term;
 		this.#applyLine.clear();
-		this.#applyUpTo(this.log.last.index);
+		// Applies what was received but still waits for the apply lag, too.
 		this.#append({kind: 'term-start', changes: []});
 		return true;
 	}
--- a/packages/standin/src/endpoint/infra/endpoint-service.ts
+++ b/packages/standin/src/endpoint/infra/endpoint-service.ts
@@ -16,10 +16,12 @@
 
 /** The service that proxies call. */
 export const endpointRoutes = (instance: Instance) => (router: ConnectRouter): void => {
-	const {member, timers, faults, settings} = instance;
+	const {
+		member, timers, faults, settings, log,
+	} = instance;
 
 	/** Fault handling and the check of the database, common to all unary calls. */
-	const answer = async <Response>(database: string, run: () => Response): Promise<Response> => {
+	const answer = async <Response extends {accepted: boolean}>(call: string, {database, term}: {database: string; term: bigint}, run: () => Response): Promise<Response> => {
 		refuseIfAsked(instance);
 		await faults.untilThawed();
 		if (database !== settings.database) {
@@ -27,6 +29,9 @@
 		}
 
 		const response = run();
+		log.info({
+			call, term: Number(term), accepted: response.accepted, fencedTerm: member.fencedTerm,
+		}, 'Changed or kept the term.');
 		await timers.sleep(faults.values.answerDelayMs);
 		await faults.untilThawed();
 		return response;
@@ -35,14 +40,14 @@
 	const service: ServiceImpl<typeof EndpointService> = {
 		session: (requests, context) => serve(instance, new SessionStream(instance), requests, context),
 		monitor: (requests, context) => serve(instance, new MonitorStream(instance), requests, context),
-		fence: async ({database, term}) => answer(database, () => ({
-			accepted: member.fence(Number(term)), fencedTerm: BigInt(member.fencedTerm), last: toWirePosition(member.log.last),
+		fence: async request => answer('fence', request, () => ({
+			accepted: member.fence(Number(request.term)), fencedTerm: BigInt(member.fencedTerm), last: toWirePosition(member.log.last),
 		})),
-		promote: async ({database, term}) => answer(database, () => ({
-			accepted: member.promote(Number(term)), fencedTerm: BigInt(member.fencedTerm), position: toWirePosition(member.log.last),
+		promote: async request => answer('promote', request, () => ({
+			accepted: member.promote(Number(request.term)), fencedTerm: BigInt(member.fencedTerm), position: toWirePosition(member.log.last),
 		})),
-		follow: async ({database, term, primaryMemberId, primaryAddress}) => answer(database, () => ({
-			accepted: member.follow(Number(term), {memberId: primaryMemberId, address: primaryAddress}),
+		follow: async request => answer('follow', request, () => ({
+			accepted: member.follow(Number(request.term), {memberId: request.primaryMemberId, address: request.primaryAddress}),
 			fencedTerm: BigInt(member.fencedTerm),
 		})),
 	};
--- a/packages/standin/src/endpoint/infra/instance.ts
+++ b/packages/standin/src/endpoint/infra/instance.ts
@@ -1,4 +1,5 @@
 import {type SystemTimerService} from '@dogwoodthread/coordination';
+import {type Logger} from 'pino';
 import {type MonitorResponse} from '@dogwoodthread/protocol';
 import {ConnectionRegistry, type RegisteredConnection} from '../core/connection-registry.js';
 import {Faults} from '../core/faults.js';
@@ -20,7 +21,7 @@
 	readonly executor: StatementExecutor;
 	readonly #refusals: Record<string, number> = {};
 
-	constructor(readonly settings: EndpointSettings, readonly timers: SystemTimerService) {
+	constructor(readonly settings: EndpointSettings, readonly timers: SystemTimerService, readonly log: Logger) {
 		this.faults = new Faults({replicationDelayMs: settings.replicationDelayMs, applyLagMs: settings.applyLagMs});
 		this.member = new GroupMember({
 			memberId: settings.memberId,
@@ -38,9 +39,14 @@
 
 	/** Opens a connection, or says why not. */
 	open(database: string, connection: RegisteredConnection): Refusal | undefined {
-		return database === this.settings.database
+		const refusal = database === this.settings.database
 			? this.registry.open(connection)
 			: {code: 'wrong-database', message: `This is an instance of ${this.settings.database}; correct the address.`};
+		if (refusal) {
+			this.log.warn({...connection.identity, code: refusal.code}, 'Refused a connection.');
+		}
+
+		return refusal;
 	}
 
 	/** Makes the oldest connections stop answering for good. */
