Do not count members with an empty log towards a promotion's majority

Cause: an instance that restarted without its log answers Fence with position 0/0. Change: only accepted replies with a log count.

--- a/packages/coordination/src/group/core/promote-primary.ts
+++ b/packages/coordination/src/group/core/promote-primary.ts
@@ -104,7 +104,8 @@
 			return failure('superseded', `Member ${superseding.member.memberId} is fenced at term ${superseding.reply.fencedTerm}; a later promotion is under way.`);
 		}
 
-		const accepted = replies.filter(({reply}) => reply.accepted);
+		// A member with an empty log may have lost what it had confirmed, so it cannot vouch for the rest.
+		const accepted = replies.filter(({reply}) => reply.accepted && reply.last.index > 0);
 		return accepted.length >= majority
 			? ok(accepted)
 			: failure('no-majority', `Only ${accepted.length} of ${record.members.length} members of ${record.database} could be fenced; restore ${majority - accepted.length} more.`);
