Add dogwoodctl for the governing document, and the operators' page

Cause: operators drive the system only by editing the document. Change: show, edit, diff, check, apply, history, status, init, repair and reference for the document, and audit; apply waits until all proxies have the version in force or names those behind; the reference page is generated from the schema and a test keeps it current. A base version later than the document and a repeat with a newer base are now told apart. Conclusion: the tool is complete but for counters, which have a port.

--- a/packages/coordination/src/document/core/edit-section.ts
+++ b/packages/coordination/src/document/core/edit-section.ts
@@ -20,8 +20,12 @@
 	text: string;
 	/** Document version that the author started from; the current one if left out. */
 	baseVersion?: number;
+	/** The change id was used before, maybe with an earlier base version; it is searched 24 h back. */
+	isRepeat?: boolean;
 };
 
+type DatedEdit = SectionEdit & {baseVersion: number; atUnixMs: number};
+
 /** Checks what an author states about a change. */
 export const checkStatement = ({changeId, team, author, reason}: ChangeStatement): Result<ChangeStatement, DocumentError> => {
 	const parsed = changeStatementSchema.safeParse({
@@ -50,7 +54,11 @@
 		: err({kind: 'not-allowed', message: `${author} is not listed in operations.teams.${section}. Ask the team ${sectionTeams.operations} to add the author there.`});
 };
 
-const checkUnchanged = ({section, text}: SectionEdit, baseVersion: number, {stored}: VersionedDocument): Result<undefined, DocumentError> => {
+const checkUnchanged = ({section, text, baseVersion}: DatedEdit, {version, stored}: VersionedDocument): Result<undefined, DocumentError> => {
+	if (baseVersion > version) {
+		return err({kind: 'invalid-change', message: `The base version ${baseVersion} is later than the document's version ${version}. Give the version that the text was made from.`});
+	}
+
 	if (stored.sectionVersions[section] <= baseVersion) {
 		return ok(undefined);
 	}
@@ -65,13 +73,11 @@
 	});
 };
 
-type DatedEdit = SectionEdit & {baseVersion: number; atUnixMs: number};
-
 const planEdit = (edit: DatedEdit, current: VersionedDocument, cache: SectionCache): Result<Plan, DocumentError> => {
-	const {section, text, changeId, team, author, reason, baseVersion, atUnixMs} = edit;
+	const {section, text, changeId, team, author, reason, atUnixMs} = edit;
 	const sections = {...current.stored.sections, [section]: text};
 	return checkRight(edit, current)
-		.andThen(() => checkUnchanged(edit, baseVersion, current))
+		.andThen(() => checkUnchanged(edit, current))
 		.andThen(() => parseDocument({sections}, cache))
 		.andThen(() => nextStoredDocument(current, sections, {
 			changeId, section, team, author, reason, atUnixMs,
@@ -95,7 +101,7 @@
 	let {baseVersion} = edit;
 	return acceptChange(options, {
 		changeId: edit.changeId,
-		sinceVersion: edit.baseVersion,
+		sinceVersion: edit.isRepeat ? undefined : edit.baseVersion,
 		plan(snapshot, cache) {
 			if (snapshot.kind !== 'document') {
 				return err(snapshot.error);
--- a/packages/coordination/src/document/domain/cross-checks.ts
+++ b/packages/coordination/src/document/domain/cross-checks.ts
@@ -108,6 +108,18 @@
 	return found;
 };
 
+/** The rules below in words, for the reference page. */
+export const crossCheckRules: readonly string[] = [
+	'There is at least one database.',
+	'`longSlots` is less than `slots`, so that short work always has a slot.',
+	'0.6 of `connections`, less 2, is at least `slots`, and 0.2 of `connections` is at least 3: each rank keeps one connection for its monitor stream and one for probes and control.',
+	'`operations.unconfirmedBoundMs` is less than `operations.requestTimeoutMs`, so that writes are refused before they time out with an unknown outcome.',
+	'`operations.drainMs` is at least `operations.requestTimeoutMs`, so that a shutdown interrupts no request in flight.',
+	'`operations.detectionMs` is at least 10 times the largest `rttMs`, so that ordinary delays do not look like a failed primary.',
+	'Names of objectives are unique, and `database` of an objective names a database of the document.',
+	'An objective of kind `latency` has a `thresholdMs` of at most `operations.requestTimeoutMs`; one of kind `availability` has none.',
+];
+
 /** Limits that cannot hold together, and references to things that do not exist. */
 export const crossCheck = (sections: GoverningSections): CrossMistake[] => {
 	if (Object.keys(sections.databases).length === 0) {
--- a/packages/coordination/src/document/index.ts
+++ b/packages/coordination/src/document/index.ts
@@ -7,6 +7,8 @@
 export {defaultDocument, type DefaultDocumentOptions, sectionTexts} from './domain/default-document.js';
 export {differenceOf, type Difference, formatDifference} from './domain/line-difference.js';
 export {formatMistake} from './domain/mistakes.js';
+export {documentReference} from './domain/reference.js';
+export {type FieldEdit, parseFieldEdit, setFields} from './domain/set-fields.js';
 export {parseDocument} from './domain/parse-document.js';
 export {
 	type DatabaseLimits, type GoverningSections, type GoverningSectionsInput, type MonitorWords, type ServiceObjective,
--- /dev/null
+++ b/packages/ctl/src/cli/core/run-cli.ts
@@ -0,0 +1,90 @@
+import {type CAC, cac} from 'cac';
+import {type Logger} from 'pino';
+import {
+	type Command, type CommandContext, type ExitCode, type Output,
+} from '../definitions.js';
+import {commandOptions, UsageError} from '../domain/command-options.js';
+
+export type CliOptions = {
+	commands: readonly Command[];
+	version: string;
+	logger: Logger;
+	write(text: string): void;
+	/** Makes the parts of the context that do not depend on the command. */
+	connect(options: CommandContext['options']): Omit<CommandContext, 'args' | 'options' | 'print'> & {close(): void};
+};
+
+const commonOptions = [
+	['--platform <url>', 'Base URL of the platform\'s object service'],
+	['--proxy <address>', 'Peer address of any proxy, ip:port'],
+	['--json', 'Print results as JSON lines'],
+] as const;
+
+/** `cac` matches the first word only, so a group and its command are passed as one word. */
+const joinGroup = (argv: readonly string[], groups: ReadonlySet<string>): string[] => {
+	const [node = '', script = '', group = '', name = '', ...rest] = argv;
+	return groups.has(group) && name !== '' && !name.startsWith('-') ? [node, script, `${group} ${name}`, ...rest] : [...argv];
+};
+
+const buildCli = (options: CliOptions, select: (command: Command) => void): CAC => {
+	const cli = cac('dogwoodctl');
+	for (const command of options.commands) {
+		const built = cli.command(command.usage, command.description);
+		for (const [flag, description] of [...command.options, ...commonOptions]) {
+			built.option(flag, description);
+		}
+
+		built.action(() => {
+			select(command);
+		});
+	}
+
+	cli.help();
+	cli.version(options.version);
+	return cli;
+};
+
+const groupsOf = (commands: readonly Command[]): Set<string> => new Set(commands
+	.map(({usage}) => /^(?<group>[a-z]+) [a-z]/.exec(usage)?.groups?.group)
+	.filter(group => group !== undefined));
+
+const runCommand = async (cli: CAC, command: Command, options: CliOptions): Promise<ExitCode> => {
+	const given = commandOptions(cli.options);
+	const {close, ...context} = options.connect(given);
+	const print = ({json, text}: Output) => {
+		options.write(given.has('json') ? `${JSON.stringify(json)}\n` : `${text}\n`);
+	};
+
+	try {
+		return await command.run({
+			...context, args: cli.args.map(String), options: given, print,
+		});
+	} finally {
+		close();
+	}
+};
+
+/** Runs the command that the arguments name. */
+export const runCli = async (argv: readonly string[], options: CliOptions): Promise<ExitCode> => {
+	let selected: Command | undefined;
+	const cli = buildCli(options, command => {
+		selected = command;
+	});
+	try {
+		cli.parse(joinGroup(argv, groupsOf(options.commands)), {run: false});
+		if (cli.options.help === true || cli.options.version === true) {
+			return 0;
+		}
+
+		cli.runMatchedCommand();
+		if (!selected) {
+			throw new UsageError(`There is no command ${argv.slice(2, 4).join(' ')}; see dogwoodctl --help.`);
+		}
+
+		return await runCommand(cli, selected, options);
+	} catch (error) {
+		const isUsage = error instanceof UsageError || (error instanceof Error && error.name === 'CACError');
+		options.logger.error({error: isUsage ? undefined : error}, error instanceof Error ? error.message : String(error));
+		return isUsage ? 2 : 1;
+	}
+};
--- /dev/null
+++ b/packages/ctl/src/cli/domain/command-options.ts
@@ -0,0 +1,46 @@
+import {type CommandOptions} from '../definitions.js';
+
+/** The call is not as the command's help says; ends with exit code 2. */
+export class UsageError extends Error {
+	override readonly name = 'UsageError';
+}
+
+const flagOf = (name: string): string => `--${name.replaceAll(/[A-Z]/g, letter => `-${letter.toLowerCase()}`)}`;
+
+/** Options as `cac` parsed them, by their names in camel case. */
+export const commandOptions = (values: Readonly<Record<string, unknown>>): CommandOptions => {
+	const text = (name: string): string | undefined => {
+		const value = values[name];
+		if (Array.isArray(value)) {
+			throw new UsageError(`Give ${flagOf(name)} once.`);
+		}
+
+		return typeof value === 'string' || typeof value === 'number' ? String(value) : undefined;
+	};
+
+	return {
+		has: name => values[name] === true,
+		text,
+		requiredText(name) {
+			const value = text(name);
+			if (value === undefined) {
+				throw new UsageError(`Give ${flagOf(name)}; see --help.`);
+			}
+
+			return value;
+		},
+		texts: name => [values[name] ?? []].flat().map(String),
+		count(name) {
+			const value = text(name);
+			if (value === undefined) {
+				return undefined;
+			}
+
+			if (!/^\d{1,15}$/.test(value)) {
+				throw new UsageError(`${flagOf(name)} is ${value}; give a whole number of at least 0.`);
+			}
+
+			return Number(value);
+		},
+	};
+};
--- /dev/null
+++ b/packages/ctl/src/cli/domain/section-option.ts
@@ -0,0 +1,22 @@
+import {isSectionName, type SectionName, sectionNames} from '@dogwoodthread/coordination';
+import {type CommandOptions} from '../definitions.js';
+import {UsageError} from './command-options.js';
+
+/** Value of `--section`, if given. */
+export const sectionOption = (options: CommandOptions): SectionName | undefined => {
+	const name = options.text('section');
+	if (name === undefined || isSectionName(name)) {
+		return name;
+	}
+
+	throw new UsageError(`There is no section ${name}; give one of ${sectionNames.join(', ')}.`);
+};
+
+export const requiredSection = (options: CommandOptions): SectionName => {
+	const section = sectionOption(options);
+	if (section) {
+		return section;
+	}
+
+	throw new UsageError(`Give --section, one of ${sectionNames.join(', ')}.`);
+};
--- /dev/null
+++ b/packages/ctl/src/cli/index.ts
@@ -0,0 +1,9 @@
+/** Parsing of arguments, results and exit codes, common to all commands. */
+export type {
+	Command, CommandContext, CommandOptions, ExitCode, OptionDefinition, Output,
+} from './definitions.js';
+export {UsageError} from './domain/command-options.js';
+export {requiredSection, sectionOption} from './domain/section-option.js';
+export {printError} from './core/print-error.js';
+export {type CliOptions, runCli} from './core/run-cli.js';
+export {connectWith} from './infra/connect.js';
--- /dev/null
+++ b/packages/ctl/src/commands/audit/core/audit-command.ts
@@ -0,0 +1,62 @@
+import {DocumentStore, listChangesBetween, type MonitorWords} from '@dogwoodthread/coordination';
+import {
+	type Command, type CommandContext, printError, UsageError,
+} from '../../../cli/index.js';
+import {type AuditCounters} from '../definitions.js';
+import {changedLines, changeText, countersText} from '../domain/audit-text.js';
+import {parseInstant} from '../domain/period.js';
+
+const printCounters = async ({print}: CommandContext, counters: AuditCounters, words: MonitorWords, [fromUnixMs, toUnixMs]: readonly [number, number]): Promise<void> => {
+	const read = await counters.between(fromUnixMs, toUnixMs);
+	if (read.isErr()) {
+		print({json: {event: 'counters', available: false, message: read.error.message}, text: read.error.message});
+		return;
+	}
+
+	for (const database of read.value) {
+		print({json: {event: 'counters', available: true, ...database}, text: countersText(words, database)});
+	}
+};
+
+/** The report for the monitor: accepted changes and counters of a period, in the monitor's words. */
+export const auditCommand = (counters: AuditCounters): Command => ({
+	usage: 'audit',
+	description: 'List the accepted changes of a period, oldest first, in the words of the section monitor',
+	options: [
+		['--from <time>', 'Start: a date (UTC), a time with its zone, or ms since the Unix epoch'],
+		['--to <time>', 'End, not included; now if left out'],
+	],
+	async run(context) {
+		const {options, timers} = context;
+		const from = parseInstant('from', options.requiredText('from'));
+		const to = options.text('to') === undefined ? timers.wallClockMs() : parseInstant('to', options.requiredText('to'));
+		if (from >= to) {
+			throw new UsageError('--from must be before --to.');
+		}
+
+		const store = new DocumentStore(context.platform());
+		const read = await store.read().andThen(({document}) => listChangesBetween(store, from, to)
+			.map(entries => ({words: document.monitor.words, entries})));
+		if (read.isErr()) {
+			return printError(context, read.error);
+		}
+
+		const {words, entries} = read.value;
+		for (const entry of entries) {
+			context.print({
+				json: {
+					event: 'change', ...entry.change, ...changedLines(entry), difference: entry.difference,
+				}, text: changeText(words, entry),
+			});
+		}
+
+		const period = `from ${new Date(from).toISOString()} to ${new Date(to).toISOString()}`;
+		context.print({
+			json: {
+				event: 'total', from, to, changes: entries.length,
+			}, text: `${words.change}: ${entries.length} ${period}`,
+		});
+		await printCounters(context, counters, words, [from, to]);
+		return 0;
+	},
+});
--- /dev/null
+++ b/packages/ctl/src/commands/document-apply/index.ts
@@ -0,0 +1,2 @@
+/** `dogwoodctl document apply`. */
+export {documentApply} from './core/document-apply.js';
--- /dev/null
+++ b/packages/ctl/src/commands/document-check/index.ts
@@ -0,0 +1,2 @@
+/** `dogwoodctl document check`. */
+export {documentCheck} from './core/document-check.js';
--- /dev/null
+++ b/packages/ctl/src/commands/document-diff/core/document-diff.ts
@@ -0,0 +1,55 @@
+import {
+	differenceBetween, differenceOf, type DocumentDifference, DocumentStore, formatDifference, sectionNames,
+} from '@dogwoodthread/coordination';
+import {
+	type Command, type CommandContext, type ExitCode, printError, requiredSection, UsageError,
+} from '../../../cli/index.js';
+import {readSectionFile} from '../../../section-file/index.js';
+
+const printDifference = ({print}: CommandContext, difference: DocumentDifference): ExitCode => {
+	const parts = sectionNames.flatMap(section => {
+		const hunks = difference[section] ?? [];
+		return hunks.length > 0 ? [`section ${section}\n${formatDifference(hunks)}`] : [];
+	});
+	print({json: {event: 'difference', difference}, text: parts.length > 0 ? parts.join('\n') : 'no difference'});
+	return 0;
+};
+
+const compareFile = async (context: CommandContext, path: string): Promise<ExitCode> => {
+	const section = requiredSection(context.options);
+	const {text} = readSectionFile(context.readFile(path));
+	const read = await new DocumentStore(context.platform()).read();
+	return read.match(
+		({stored}) => printDifference(context, {[section]: differenceOf(stored.sections[section], text)}),
+		error => printError(context, error),
+	);
+};
+
+const compareVersions = async (context: CommandContext): Promise<ExitCode> => {
+	const from = context.options.count('from');
+	if (from === undefined) {
+		throw new UsageError('Give --from VERSION, or a file with --section.');
+	}
+
+	const store = new DocumentStore(context.platform());
+	const to = context.options.count('to');
+	const compared = await (to === undefined
+		? store.read().andThen(({version}) => differenceBetween(store, from, version))
+		: differenceBetween(store, from, to));
+	return compared.match(difference => printDifference(context, difference), error => printError(context, error));
+};
+
+/** Shows changed lines between two versions, or between the current section and a file. */
+export const documentDiff: Command = {
+	usage: 'document diff [file]',
+	description: 'Show what changed between two versions, or what a file would change in a section',
+	options: [
+		['--from <version>', 'Earlier version'],
+		['--to <version>', 'Later version; the current one if left out'],
+		['--section <name>', 'Section that the file replaces'],
+	],
+	async run(context) {
+		const [path] = context.args;
+		return path === undefined ? compareVersions(context) : compareFile(context, path);
+	},
+};
--- /dev/null
+++ b/packages/ctl/src/commands/document-diff/index.ts
@@ -0,0 +1,2 @@
+/** `dogwoodctl document diff`. */
+export {documentDiff} from './core/document-diff.js';
--- /dev/null
+++ b/packages/ctl/src/commands/document-edit/index.ts
@@ -0,0 +1,2 @@
+/** `dogwoodctl document edit`. */
+export {documentEdit} from './core/document-edit.js';
--- /dev/null
+++ b/packages/ctl/src/commands/document-history/core/document-history.ts
@@ -0,0 +1,26 @@
+import {type ChangeRecord, DocumentStore, listChanges} from '@dogwoodthread/coordination';
+import {type Command, printError} from '../../../cli/index.js';
+
+/** Changes shown unless a limit is given. */
+const defaultLimit = 20;
+
+const lineOf = ({version, atUnixMs, section, team, author, reason, changeId}: ChangeRecord): string =>
+	`${version}  ${new Date(atUnixMs).toISOString()}  ${section}  ${author} (${team}): ${reason}  [${changeId}]`;
+
+/** Lists accepted changes, newest first. */
+export const documentHistory: Command = {
+	usage: 'document history',
+	description: 'List accepted changes, newest first',
+	options: [['--limit <n>', `Changes to list; ${defaultLimit} if left out`]],
+	async run(context) {
+		const limit = context.options.count('limit') ?? defaultLimit;
+		const changes = await listChanges(new DocumentStore(context.platform()), Math.max(1, limit));
+		return changes.match(list => {
+			for (const change of list) {
+				context.print({json: {event: 'change', ...change}, text: lineOf(change)});
+			}
+
+			return 0;
+		}, error => printError(context, error));
+	},
+};
--- /dev/null
+++ b/packages/ctl/src/commands/document-history/index.ts
@@ -0,0 +1,2 @@
+/** `dogwoodctl document history`. */
+export {documentHistory} from './core/document-history.js';
--- /dev/null
+++ b/packages/ctl/src/commands/document-init/core/document-init.ts
@@ -0,0 +1,27 @@
+import {
+	createDocument, defaultDocument, sectionNames, sectionTeams, sectionTexts,
+} from '@dogwoodthread/coordination';
+import {
+	changeOptions, changeStatement, reportAcceptance, timeoutOption,
+} from '../../../accept/index.js';
+import {type Command, UsageError} from '../../../cli/index.js';
+
+/** Creates the document at a platform that has none. */
+export const documentInit: Command = {
+	usage: 'document init',
+	description: 'Create the governing document; the author may edit every section at first',
+	options: [['--databases <names>', 'Names of the databases, separated by commas'], ...changeOptions],
+	async run(context) {
+		const {options, timers} = context;
+		const names = options.requiredText('databases').split(',').filter(name => name !== '');
+		if (names.length === 0) {
+			throw new UsageError('Give at least one database.');
+		}
+
+		const statement = changeStatement(context, sectionTeams.operations);
+		const authors = Object.fromEntries(sectionNames.map(section => [section, [statement.author]]));
+		return reportAcceptance(context, statement.changeId, () => createDocument({platform: context.platform(), timers, timeoutMs: timeoutOption(options)}, {
+			...statement, sections: sectionTexts(defaultDocument(names, {authors})),
+		}));
+	},
+};
--- /dev/null
+++ b/packages/ctl/src/commands/document-init/index.ts
@@ -0,0 +1,2 @@
+/** `dogwoodctl document init`. */
+export {documentInit} from './core/document-init.js';
--- /dev/null
+++ b/packages/ctl/src/commands/document-reference/index.ts
@@ -0,0 +1,2 @@
+/** `dogwoodctl document reference`. */
+export {documentReference} from './core/document-reference.js';
--- /dev/null
+++ b/packages/ctl/src/commands/document-repair/index.ts
@@ -0,0 +1,2 @@
+/** `dogwoodctl document repair`. */
+export {documentRepair} from './core/document-repair.js';
--- /dev/null
+++ b/packages/ctl/src/commands/document-show/core/document-show.ts
@@ -0,0 +1,29 @@
+import {DocumentStore} from '@dogwoodthread/coordination';
+import {
+	type Command, printError, sectionOption,
+} from '../../../cli/index.js';
+import {writeDocumentFile, writeSectionFile} from '../../../section-file/index.js';
+
+/** Prints the document, or one section in the form that `apply` takes. */
+export const documentShow: Command = {
+	usage: 'document show',
+	description: 'Print the governing document, or one section of it',
+	options: [['--section <name>', 'Print only this section, in the form that "document apply" takes']],
+	async run(context) {
+		const section = sectionOption(context.options);
+		const read = await new DocumentStore(context.platform()).read();
+		if (read.isErr()) {
+			return printError(context, read.error);
+		}
+
+		const {version, stored, document} = read.value;
+		context.print(section
+			? {
+				json: {
+					event: 'section', version, section, text: stored.sections[section], value: document[section],
+				}, text: writeSectionFile(section, read.value).trimEnd(),
+			}
+			: {json: {event: 'document', version, document}, text: writeDocumentFile(read.value).trimEnd()});
+		return 0;
+	},
+};
--- /dev/null
+++ b/packages/ctl/src/commands/document-show/index.ts
@@ -0,0 +1,2 @@
+/** `dogwoodctl document show`. */
+export {documentShow} from './core/document-show.js';
--- /dev/null
+++ b/packages/ctl/src/commands/document-status/index.ts
@@ -0,0 +1,2 @@
+/** `dogwoodctl document status`. */
+export {documentStatus} from './core/document-status.js';
--- /dev/null
+++ b/packages/ctl/src/proxies/core/await-in-force.ts
@@ -0,0 +1,47 @@
+import {type TimerService} from '@dogwoodthread/coordination';
+import {type ProxyMember, type ProxyView} from '../definitions.js';
+
+/** How often the proxies' versions are asked for, in ms. */
+const pollMs = 200;
+
+export type InForce = {
+	inForce: boolean;
+	/** Proxies in the view; 0 if no proxy answered. */
+	total: number;
+	/** Proxies with an earlier version. */
+	behind: ProxyMember[];
+	/** Why the view is missing, if it is. */
+	problem?: string;
+};
+
+/** Reads which proxies have at least `version` in force. */
+export const readInForce = async (proxies: ProxyView, version: number): Promise<InForce> => {
+	const members = await proxies.members();
+	if (members.isErr()) {
+		return {
+			inForce: false, total: 0, behind: [], problem: members.error.message,
+		};
+	}
+
+	const behind = members.value.filter(({documentVersion}) => documentVersion < version);
+	return {inForce: members.value.length > 0 && behind.length === 0, total: members.value.length, behind};
+};
+
+/** Waits until all proxies have at least `version` in force, for `timeoutMs` at most. */
+export const awaitInForce = async (timers: TimerService, proxies: ProxyView, version: number, timeoutMs: number): Promise<InForce> => {
+	const deadlineMs = timers.nowMs() + timeoutMs;
+	for (;;) {
+		const state = await readInForce(proxies, version);
+		if (state.inForce || timers.nowMs() >= deadlineMs) {
+			return state;
+		}
+
+		await timers.sleep(pollMs);
+	}
+};
+
+/** Names proxies for people; long lists are cut. */
+export const namesOf = (members: readonly ProxyMember[]): string => {
+	const shown = members.slice(0, 20).map(({hostId, documentVersion, state}) => `${hostId} (version ${documentVersion}, ${state})`);
+	return [...shown, ...(members.length > shown.length ? [`${members.length - shown.length} more`] : [])].join(', ');
+};
--- /dev/null
+++ b/packages/ctl/src/section-file/index.ts
@@ -0,0 +1,2 @@
+/** Files that `show` writes and `apply` and `check` read. */
+export {readSectionFile, writeDocumentFile, writeSectionFile} from './domain/section-file.js';
--- /dev/null
+++ b/packages/ctl/test/run.ts
@@ -0,0 +1,67 @@
+import {once} from 'node:events';
+import {createServer} from 'node:http2';
+import {type AddressInfo} from 'node:net';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {PeerService} from '@dogwoodthread/protocol';
+import {type RunningPlatform, startPlatform} from '@dogwoodthread/standin';
+import {pino} from 'pino';
+import {type Test} from 'tap';
+import {commands, connectWith, runCli} from '../src/index.js';
+
+/** What the fake proxy says about all proxies and about its own document. */
+export type FakeProxy = {address: string; versions: number[]; content: string; contentVersion: number};
+
+/** Runs `dogwoodctl` in this process; ids and times in its output are replaced. */
+export const runCtl = async (...args: string[]): Promise<{code: number; output: string}> => {
+	const logger = pino({level: 'silent'});
+	let output = '';
+	const code = await runCli(['node', 'dogwoodctl', ...args], {
+		commands,
+		version: '0.0.0',
+		logger,
+		write(text) {
+			output += text;
+		},
+		connect: connectWith(logger),
+	});
+	return {
+		code,
+		output: output
+			.replaceAll(/change-[\da-f-]{36}/g, 'CHANGE')
+			.replaceAll(/\d{4}-\d\d-\d\dT[\d:.]+Z/g, 'TIME')
+			.replaceAll(/"atUnixMs":\d+/g, '"atUnixMs":0')
+			.replaceAll(/127\.0\.0\.1:\d+/g, 'ADDRESS'),
+	};
+};
+
+export const startTestPlatform = async (t: Test): Promise<RunningPlatform> => {
+	const platform = await startPlatform();
+	t.teardown(async () => platform.close());
+	return platform;
+};
+
+/** A proxy's peer service, as far as `dogwoodctl` uses it. */
+export const startFakeProxy = async (t: Test): Promise<FakeProxy> => {
+	const proxy: FakeProxy = {
+		address: '', versions: [], content: '', contentVersion: 0,
+	};
+	const server = createServer(connectNodeAdapter({
+		routes(router) {
+			router.service(PeerService, {
+				getView: () => ({
+					members: proxy.versions.map((version, index) => ({
+						hostId: `p${index}`, state: 'alive', peerAddress: proxy.address, documentVersion: BigInt(version),
+					})),
+				}),
+				getDocument: () => ({version: BigInt(proxy.contentVersion), content: proxy.content}),
+			});
+		},
+	}));
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+	});
+	proxy.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	return proxy;
+};
