Report edits without evidence as unknown, and follow peers without watching

Cause: an edit whose answer was lost was reported as refused when the object was damaged afterwards; a bad content from a peer counted as damage at the platform; at the design size only some members may watch the platform. Change: such edits end with outcome-unknown; only the platform's own object counts as damaged; a follower that does not watch asks its peers.

--- a/packages/coordination/src/document/core/accept-change.ts
+++ b/packages/coordination/src/document/core/accept-change.ts
@@ -44,6 +44,14 @@
 const firstPauseMs = 20;
 const longestPauseMs = 1000;
 
+const versionOf = (snapshot: Snapshot): number => {
+	if (snapshot.kind === 'document') {
+		return snapshot.current.version;
+	}
+
+	return snapshot.kind === 'damaged' ? snapshot.version : 0;
+};
+
 /** Writes one change exactly once, through lost answers, outages and races with other editors. */
 class AcceptChange {
 	readonly #store: DocumentStore;
@@ -90,7 +98,10 @@
 			return found.map(acceptance => acceptance ?? 'again');
 		}
 
-		this.#settleOpenWrite(snapshot);
+		if (!this.#settleOpenWrite(snapshot)) {
+			return err(this.#outcomeUnknown(snapshot.kind === 'document' ? undefined : snapshot.error));
+		}
+
 		const plan = this.attempt.plan(snapshot, this.#store.cache);
 		if (plan.isErr()) {
 			return err(plan.error);
@@ -123,12 +134,21 @@
 		return ok({...current.value, acceptedVersion: version, alreadyAccepted: false});
 	}
 
-	/** A write without an answer can no longer take effect once the object has moved on. */
-	#settleOpenWrite(snapshot: Snapshot): void {
-		const version = snapshot.kind === 'document' ? snapshot.current.version : (snapshot.kind === 'damaged' ? snapshot.version : 0);
-		if (this.#openVersion !== version) {
-			this.#openVersion = undefined;
+	/**
+	 * A write without an answer can no longer take effect once the object has moved on. Gives false if
+	 * the object moved on to something that does not show whether the write had taken effect before.
+	 */
+	#settleOpenWrite(snapshot: Snapshot): boolean {
+		if (this.#openVersion === undefined || this.#openVersion === versionOf(snapshot)) {
+			return true;
 		}
+
+		if (snapshot.kind !== 'document') {
+			return false;
+		}
+
+		this.#openVersion = undefined;
+		return true;
 	}
 
 	async #findAccepted(snapshot: Snapshot): Promise<Result<Acceptance | undefined, DocumentError>> {
@@ -149,7 +169,7 @@
 				return !found && isSearched(change);
 			});
 			if (walked.isErr()) {
-				return err(walked.error);
+				return err(walked.error.kind === 'platform-unavailable' ? walked.error : this.#outcomeUnknown(walked.error));
 			}
 		}
 
@@ -163,16 +183,21 @@
 
 	#lastError(error: DocumentError | undefined): DocumentError {
 		if (this.#openVersion !== undefined) {
-			return {
-				kind: 'outcome-unknown',
-				message: `No answer says whether the change was accepted. Repeat it with the change id ${this.attempt.changeId}; it is applied at most once.`,
-				cause: error,
-			};
+			return this.#outcomeUnknown(error);
 		}
 
 		return error ?? {kind: 'platform-unavailable', message: 'Other editors were faster until the time was up; nothing changed. Repeat the edit.'};
 	}
 
+	#outcomeUnknown(cause: DocumentError | undefined): DocumentError {
+		const reason = cause ? ` (${cause.message})` : '';
+		return {
+			kind: 'outcome-unknown',
+			message: `Nothing says whether the change was accepted${reason}. Repeat it with the change id ${this.attempt.changeId}; it is applied at most once.`,
+			cause,
+		};
+	}
+
 	async #pause(): Promise<void> {
 		await this.options.timers.sleep(this.#pauseMs * (0.5 + (this.#random() / 2)));
 		this.#pauseMs = Math.min(longestPauseMs, this.#pauseMs * 2);
--- a/packages/coordination/src/document/core/document-in-force.ts
+++ b/packages/coordination/src/document/core/document-in-force.ts
@@ -66,31 +66,17 @@
 	}
 
 	/** Takes a value read from the platform. An error leaves the version in force as it is. */
-	offer({version, value, confirmedAtMs}: {version: number; value: unknown} & Confirmation): Result<OfferOutcome, DocumentError> {
-		if (version < this.version) {
-			return ok('older');
-		}
-
-		if (version === this.version) {
-			this.#confirm(confirmedAtMs);
-			return ok('current');
-		}
-
-		const read = readStoredDocument(value, version, this.#cache);
-		if (read.isErr()) {
-			this.#damagedVersion = Math.max(this.#damagedVersion, version);
-			return err(read.error);
-		}
-
-		this.#apply(read.value);
-		this.#confirm(confirmedAtMs);
-		return ok('applied');
+	offer(offered: {version: number; value: unknown} & Confirmation): Result<OfferOutcome, DocumentError> {
+		return this.#take(offered).mapErr(error => {
+			this.#damagedVersion = Math.max(this.#damagedVersion, offered.version);
+			return error;
+		});
 	}
 
 	/** Takes a peer's content, as made by `contentFor` there. */
 	offerContent({version, content, confirmedAtMs}: {version: number; content: string} & Confirmation): Result<OfferOutcome, DocumentError> {
 		if (version <= this.version) {
-			return this.offer({version, value: undefined, confirmedAtMs});
+			return this.#take({version, value: undefined, confirmedAtMs});
 		}
 
 		const read = readContent(content, this.#current);
@@ -100,7 +86,7 @@
 				: err({kind: 'damaged-document', message: `A peer's content of version ${version} is malformed; ask another peer.`});
 		}
 
-		return this.offer({version, value: read.value, confirmedAtMs});
+		return this.#take({version, value: read.value, confirmedAtMs});
 	}
 
 	/** Notes that the platform's latest version was `version` at `confirmedAtMs`. */
@@ -145,6 +131,26 @@
 		};
 	}
 
+	#take({version, value, confirmedAtMs}: {version: number; value: unknown} & Confirmation): Result<OfferOutcome, DocumentError> {
+		if (version < this.version) {
+			return ok('older');
+		}
+
+		if (version === this.version) {
+			this.#confirm(confirmedAtMs);
+			return ok('current');
+		}
+
+		const read = readStoredDocument(value, version, this.#cache);
+		if (read.isErr()) {
+			return err(read.error);
+		}
+
+		this.#apply(read.value);
+		this.#confirm(confirmedAtMs);
+		return ok('applied');
+	}
+
 	#apply(next: VersionedDocument): void {
 		const previous = this.#current;
 		if (previous) {
--- a/packages/coordination/src/document/core/follow-document.ts
+++ b/packages/coordination/src/document/core/follow-document.ts
@@ -8,9 +8,14 @@
 	platform: Platform;
 	timers: TimerService;
 	inForce: DocumentInForce;
-	/** Asked while the platform does not answer. */
+	/** Asked while the platform does not answer, and instead of it if this process does not watch. */
 	peers?: PeerDocuments;
-	/** Longest wait of one watch, in ms. Also how often an unchanged version is confirmed. */
+	/**
+	 * Whether this process watches the platform itself; always if left out. At the design size only two
+	 * members of each failure domain do, since a waiting watch counts against the platform's rates.
+	 */
+	shouldWatch?: () => boolean;
+	/** Longest wait of one watch, in ms. Also how often an unchanged version is confirmed, and peers are asked. */
 	waitMs?: number;
 	/** Called for a damaged document and for each failed call. */
 	onError?: (error: DocumentError) => void;
@@ -30,9 +35,19 @@
 
 	constructor(private readonly options: FollowDocumentOptions) {}
 
+	get #watches(): boolean {
+		return this.options.shouldWatch?.() ?? true;
+	}
+
 	/** Follows until `stop`; a watch that waits then ends on its own. */
 	async run(): Promise<void> {
 		while (!this.#stopped) {
+			if (!this.#watches) {
+				await this.askPeers();
+				await this.options.timers.sleep(this.options.waitMs ?? defaultWaitMs);
+				continue;
+			}
+
 			const revision = await this.#readOnce();
 			if (revision === undefined) {
 				await this.askPeers();
@@ -48,7 +63,7 @@
 		this.#stopped = true;
 	}
 
-	/** Takes the newest document that peers have; for the start and for a newer version seen in gossip. */
+	/** Takes the newest document that peers have; call it when gossip shows a newer version. */
 	async askPeers(): Promise<void> {
 		const {peers, inForce, timers} = this.options;
 		if (!peers) {
@@ -105,7 +120,7 @@
 	async #watchFrom(start: number): Promise<void> {
 		const {platform, timers, inForce, waitMs = defaultWaitMs} = this.options;
 		let revision = start;
-		while (!this.#stopped) {
+		while (!this.#stopped && this.#watches) {
 			const askedAtMs = timers.nowMs();
 			const batch = await platform.watch('document', revision, waitMs);
 			if (batch.isErr()) {
--- a/packages/coordination/src/document/domain/change.ts
+++ b/packages/coordination/src/document/domain/change.ts
@@ -21,7 +21,8 @@
 	reason: z.string(),
 	baseVersion: z.number().int().nonnegative(),
 	version: z.number().int().nonnegative(),
-	atUnixMs: z.number(),
+	// Largest time that a Date can hold.
+	atUnixMs: z.number().int().min(0).max(8.64e15),
 });
 
 const differenceSchema = z.array(z.object({
--- a/packages/coordination/test/document/document-in-force.test.ts
+++ b/packages/coordination/test/document/document-in-force.test.ts
@@ -51,6 +51,8 @@
 	t.equal(byFull!.offerContent({version: 2, content: source!.contentFor(0)!})._unsafeUnwrap(), 'applied');
 	t.same(byDelta!.current, byFull!.current);
 	t.equal(source!.contentFor(2), undefined);
+	behind!.offerContent({version: 9, content: JSON.stringify({kind: 'full', value: {}})});
+	t.equal(behind!.status().damagedVersion, undefined, 'a bad peer says nothing about the platform');
 	t.equal(behind!.offerContent({version: 2, content: '{'})._unsafeUnwrapErr().kind, 'damaged-document');
 });
 
@@ -108,6 +110,36 @@
 	await running;
 });
 
+// Guards against thousands of watches at the platform, and against versions confirmed by unconfirmed peers only.
+test('a follower that does not watch follows its peers without a call to the platform', async t => {
+	const {first, second} = await twoVersions();
+	const platform = new FaultyPlatform(new MemoryPlatform());
+	const peer = new DocumentInForce({timers});
+	const inForce = new DocumentInForce({timers});
+	const confirmation: {ageMs?: number} = {};
+	const follower = new DocumentFollower({
+		platform,
+		timers,
+		inForce,
+		waitMs: 20,
+		shouldWatch: () => false,
+		peers: {ask: async knownVersion => [{version: peer.version, content: peer.contentFor(knownVersion), confirmationAgeMs: confirmation.ageMs}]},
+	});
+	const startedAtMs = inForce.unconfirmedSinceMs;
+	const running = follower.run();
+	for (const {version, stored} of [first, second]) {
+		peer.offer({version, value: stored});
+		await until(() => inForce.version === version);
+	}
+
+	t.equal(inForce.unconfirmedSinceMs, startedAtMs);
+	confirmation.ageMs = 0;
+	await until(() => inForce.unconfirmedSinceMs > startedAtMs);
+	follower.stop();
+	await running;
+	t.equal(platform.calls, 0);
+});
+
 // Guards against a damaged object that nobody can replace any more.
 test('a damaged object refuses edits and is repaired from the version in force', async t => {
 	const {platform, second} = await twoVersions();
--- a/packages/coordination/test/document/edit-faults.test.ts
+++ b/packages/coordination/test/document/edit-faults.test.ts
@@ -125,6 +125,27 @@
 	}
 });
 
+// Guards against a definite answer when nothing shows whether the change was accepted.
+test('without evidence the outcome is unknown', async t => {
+	const memory = new MemoryPlatform();
+	await create(memory);
+	const damaging = new FaultyPlatform(memory, ['answer-lost']);
+	damaging.afterPut = async () => {
+		await memory.put('document', 'governing', {}, 2);
+	};
+
+	t.equal(await outcomeOf(edit(damaging, {})), 'outcome-unknown');
+	const other = new MemoryPlatform();
+	await create(other);
+	for (let index = 0; index < 70; index += 1) {
+		await edit(other, {changeId: `later-${index}`, baseVersion: index + 1});
+	}
+
+	await other.remove('document-history', '3', 1);
+	t.equal(await outcomeOf(edit(other, {isRepeat: true, baseVersion: 71})), 'outcome-unknown');
+	t.equal(await outcomeOf(edit(other, {baseVersion: 71})), 'accepted');
+});
+
 test('a refused edit shows who changed the section, and the difference', async t => {
 	const platform = new MemoryPlatform();
 	await create(platform);
--- a/packages/coordination/test/document/fixtures.ts
+++ b/packages/coordination/test/document/fixtures.ts
@@ -33,7 +33,9 @@
 	down = false;
 	/** Number of calls of any kind that fail next. */
 	failNext = 0;
-	puts = 0;
+	calls = 0;
+	/** Runs after a put of the document that took effect without an answer. */
+	afterPut: (() => Promise<void>) | undefined;
 	readonly #late: Array<() => Promise<unknown>> = [];
 
 	constructor(readonly memory: MemoryPlatform, private readonly faults: PutFault[] = []) {}
@@ -65,6 +67,7 @@
 	}
 
 	#call<T>(call: () => ResultAsync<T, PlatformError>): ResultAsync<T, PlatformError> {
+		this.calls += 1;
 		if (this.down || this.failNext > 0) {
 			this.failNext -= 1;
 			return errAsync(unavailable(true));
@@ -80,10 +83,10 @@
 	}
 
 	async #put(effect: () => Promise<Result<number, PlatformError>>): Promise<Result<number, PlatformError>> {
-		this.puts += 1;
 		const fault = this.faults.shift() ?? 'none';
 		if (fault === 'answer-lost') {
 			await effect();
+			await this.afterPut?.();
 		} else if (fault === 'late-effect') {
 			this.#late.push(effect);
 		}
