--- a/packages/coordination/test/document/document-in-force.test.ts
+++ b/packages/coordination/test/document/document-in-force.test.ts
@@ -53,6 +53,8 @@
 	t.equal(byFull!.offerContent({version: 2, content: source!.contentFor(0)!})._unsafeUnwrap(), 'applied');
 	t.same(byDelta!.current, byFull!.current);
 	t.equal(source!.contentFor(2), undefined);
+	behind!.offerContent({version: 9, content: JSON.stringify({kind: 'full', value: {}})});
+	t.equal(behind!.status().damagedVersion, undefined, 'a bad peer says nothing about the platform');
 	t.equal(behind!.offerContent({version: 2, content: '{'})._unsafeUnwrapErr().kind, 'damaged-document');
 });
 
@@ -142,6 +144,40 @@
 	other.membership.stop();
 });
 
+// Guards against thousands of watches at the platform, and against versions confirmed by unconfirmed peers only.
+test('a member that does not watch follows its peers without a call to the platform', async t => {
+	const {platform, first, second} = await twoVersions();
+	const network = new MemoryDatagramNetwork({timers, random: Math.random});
+	const [watched, silent] = [new FaultyPlatform(platform), new FaultyPlatform(new MemoryPlatform())];
+	const watcherInForce = new DocumentInForce({timers});
+	const inForce = new DocumentInForce({timers});
+	inForce.offer({version: 1, value: first.stored});
+	watcherInForce.offer({version: 1, value: first.stored});
+	const watchers = ['w1', 'w2'].map(name => member(name, network, watcherInForce, {platform: watched, errors: []}));
+	const errors: string[] = [];
+	const follower = member('c', network, inForce, {platform: silent, peer: watcherInForce, errors});
+	const members = [...watchers, follower];
+	for (const {membership} of members) {
+		membership.join(['w1']);
+	}
+
+	await until(() => members.every(({membership}) => membership.members().length === 3));
+	const byRole = members.filter(({dissemination}) => dissemination !== follower.dissemination);
+	await follower.dissemination.start();
+	const callsBefore = silent.calls;
+	t.equal(follower.dissemination.confirmedAgoMs(), undefined);
+	await Promise.all(byRole.map(async ({dissemination}) => dissemination.start()));
+	await until(() => inForce.version === second.version && follower.dissemination.confirmedAgoMs() !== undefined);
+	// The host ids decide which two of the three members watch.
+	t.equal(follower.dissemination.isWatcher(), false);
+	t.equal(silent.calls, callsBefore);
+	t.same(errors, []);
+	for (const {membership, dissemination} of members) {
+		dissemination.stop();
+		membership.stop();
+	}
+});
+
 // Guards against a damaged object that nobody can replace any more.
 test('a damaged object refuses edits and is repaired from the version in force', async t => {
 	const {platform, second} = await twoVersions();
--- a/packages/coordination/test/document/edit-faults.test.ts
+++ b/packages/coordination/test/document/edit-faults.test.ts
@@ -70,6 +70,9 @@
 	{
 		fault: 'team of another section', edits: [{team: 'on-call'}], outcomes: ['not-allowed'], accepted: [],
 	},
+	{
+		fault: 'base version of the future', edits: [{baseVersion: 9}], outcomes: ['invalid-change'], accepted: [],
+	},
 	{
 		fault: 'no reason', edits: [{reason: ' '}], outcomes: ['invalid-change'], accepted: [],
 	},
@@ -116,12 +119,33 @@
 		await edit(platform, {changeId: `later-${index}`, text: `# ${index}\n${texts.databases}`});
 	}
 
-	for (const baseVersion of [1, undefined]) {
-		const repeat = await edit(platform, {baseVersion});
+	for (const overrides of [{baseVersion: 1}, {}, {baseVersion: 72, isRepeat: true}]) {
+		const repeat = await edit(platform, overrides);
 		t.match(repeat._unsafeUnwrap(), {acceptedVersion: 2, alreadyAccepted: true, version: 72});
 	}
 });
 
+// Guards against a definite answer when nothing shows whether the change was accepted.
+test('without evidence the outcome is unknown', async t => {
+	const memory = new MemoryPlatform();
+	await create(memory);
+	const damaging = new FaultyPlatform(memory, ['answer-lost']);
+	damaging.afterPut = async () => {
+		await memory.put('document', 'governing', {}, 2);
+	};
+
+	t.equal(await outcomeOf(edit(damaging, {})), 'outcome-unknown');
+	const other = new MemoryPlatform();
+	await create(other);
+	for (let index = 0; index < 70; index += 1) {
+		await edit(other, {changeId: `later-${index}`, baseVersion: index + 1});
+	}
+
+	await other.remove('document-history', '3', 1);
+	t.equal(await outcomeOf(edit(other, {isRepeat: true, baseVersion: 71})), 'outcome-unknown');
+	t.equal(await outcomeOf(edit(other, {baseVersion: 71})), 'accepted');
+});
+
 test('a refused edit shows who changed the section, and the difference', async t => {
 	const platform = new MemoryPlatform();
 	await create(platform);
