Spread updates by pushes within a byte budget and exchange tables by digest

A whole table of 4,900 members takes about 465 kB, more than the 10 kB/s that a node may use if it is exchanged every 30 s. Members now compare digests of 128 buckets first and send the buckets that differ. Updates ride on unanswered pushes every 200 ms while some wait, at most 4,000 bytes/s, and suspicions and deaths leave out the addresses. Members that start together exchange tables early. ManualTimerService keeps its entries sorted; a simulated fleet spent most of its time sorting them.

--- a/packages/coordination/src/membership/core/claim-receiver.ts
+++ b/packages/coordination/src/membership/core/claim-receiver.ts
@@ -9,6 +9,17 @@
 	verify(claim: Member): void;
 };
 
+/** Fills in the fields that updates about suspect and dead members leave out, if they are known. */
+const withKnownFields = (claim: Member, known: Member | undefined): Member | undefined => {
+	if (claim.gossipAddress !== '') {
+		return claim;
+	}
+
+	return known?.startedUnixMs === claim.startedUnixMs
+		? {...known, refutation: claim.refutation, state: claim.state}
+		: undefined;
+};
+
 /** Applies other members' claims to the table. */
 export class ClaimReceiver {
 	constructor(private readonly context: GossipContext, private readonly effects: ClaimEffects) {}
@@ -21,8 +32,34 @@
 		}
 
 		const known = this.context.table.get(claim.hostId);
-		const resolution = resolveClaim(known, claim, source);
-		switch (resolution) {
+		const entry = withKnownFields(claim, known);
+		if (entry) {
+			this.#resolve(known, entry, source);
+		}
+	}
+
+	/** Puts an entry into the table, spreads it and counts refutations. */
+	apply(member: Member): void {
+		const {table, queue, counters} = this.context;
+		const known = table.get(member.hostId);
+		const sameProcess = known?.startedUnixMs === member.startedUnixMs;
+		if (sameProcess && known.state === 'suspect' && member.state === 'alive') {
+			counters.suspicionsRefuted += 1;
+		}
+
+		if (sameProcess && known.state === 'dead' && member.state !== 'dead') {
+			counters.deathsRefuted += 1;
+		}
+
+		// An entry that took a detour may carry an older document version than is known.
+		const documentVersion = sameProcess ? Math.max(known.documentVersion, member.documentVersion) : member.documentVersion;
+		const entry = {...member, documentVersion};
+		table.set(entry);
+		queue.add(entry);
+	}
+
+	#resolve(known: Member | undefined, claim: Member, source: ClaimSource): void {
+		switch (resolveClaim(known, claim, source)) {
 			case 'accept': {
 				this.apply(claim);
 
@@ -47,26 +84,6 @@
 		}
 	}
 
-	/** Puts an entry into the table, spreads it and counts refutations. */
-	apply(member: Member): void {
-		const {table, queue, counters} = this.context;
-		const known = table.get(member.hostId);
-		const sameProcess = known?.startedUnixMs === member.startedUnixMs;
-		if (sameProcess && known.state === 'suspect' && member.state === 'alive') {
-			counters.suspicionsRefuted += 1;
-		}
-
-		if (sameProcess && known.state === 'dead' && member.state !== 'dead') {
-			counters.deathsRefuted += 1;
-		}
-
-		// An entry that took a detour may carry an older document version than is known.
-		const documentVersion = sameProcess ? Math.max(known.documentVersion, member.documentVersion) : member.documentVersion;
-		const entry = {...member, documentVersion};
-		table.set(entry);
-		queue.add(entry);
-	}
-
 	#receiveAboutSelf(claim: Member, self: Member): void {
 		const negative = claim.state === 'suspect' || claim.state === 'dead';
 		if (claim.startedUnixMs === self.startedUnixMs && negative && claim.refutation >= self.refutation) {
--- a/packages/coordination/src/membership/core/datagram-receiver.ts
+++ b/packages/coordination/src/membership/core/datagram-receiver.ts
@@ -67,12 +67,17 @@
 				break;
 			}
 
+			case 'push': {
+				break;
+			}
+
 			case 'exchange': {
+				const learnedMembers = members.some(member => !this.context.table.get(member.hostId));
 				for (const member of members) {
 					this.parts.claims.receive(member, 'exchange');
 				}
 
-				this.parts.exchange.receive(fromAddress, message.value);
+				this.parts.exchange.receive(fromAddress, message.value, learnedMembers);
 			}
 		}
 	}
--- a/packages/coordination/src/membership/core/datagram-sender.ts
+++ b/packages/coordination/src/membership/core/datagram-sender.ts
@@ -2,7 +2,7 @@
 import {countTraffic} from '../domain/counters.js';
 import {retransmissions} from '../domain/settings.js';
 import {
-	appendUpdates, type DatagramHeader, type DatagramMessage, encodeDatagram, encodedSizeBytes, encodeMember,
+	appendUpdates, type DatagramHeader, type DatagramMessage, encodeDatagram, encodedSizeBytes, encodeUpdate,
 } from './datagram-codec.js';
 import {type GossipContext} from './gossip-context.js';
 
@@ -24,7 +24,7 @@
 		}
 
 		const base = encodeDatagram(this.header(), message);
-		const first = this.#firstUpdates(options).map(member => encodeMember(member));
+		const first = this.#firstUpdates(options).map(member => encodeUpdate(member));
 		const usedBytes = base.length + first.reduce((sum, encoded) => sum + encodedSizeBytes(encoded), 0);
 		const queued = queue.take(settings.maxDatagramBytes - usedBytes, retransmissions(table.size));
 		const payload = appendUpdates(base, [...first, ...queued]);
--- a/packages/coordination/src/membership/core/gossip-membership.ts
+++ b/packages/coordination/src/membership/core/gossip-membership.ts
@@ -3,7 +3,7 @@
 	type DatagramTransport, type Member, type MemberListener, type MembershipView,
 } from '../definitions.js';
 import {createCounters, type GossipCounters} from '../domain/counters.js';
-import {type RandomSource, sample} from '../domain/random.js';
+import {type RandomSource} from '../domain/random.js';
 import {defaultGossipSettings, type GossipSettings} from '../domain/settings.js';
 import {ClaimReceiver} from './claim-receiver.js';
 import {encodeMember} from './datagram-codec.js';
@@ -16,6 +16,7 @@
 import {ProbeSchedule} from './probe-schedule.js';
 import {Suspicions} from './suspicions.js';
 import {TableExchange} from './table-exchange.js';
+import {UpdatePusher} from './update-pusher.js';
 import {UpdateQueue} from './update-queue.js';
 
 /** Identity of this process; the rest of its entry is filled in. */
@@ -44,6 +45,7 @@
 	readonly #schedule: ProbeSchedule;
 	readonly #suspicions: Suspicions;
 	readonly #claims: ClaimReceiver;
+	readonly #pusher: UpdatePusher;
 	readonly #maintenance: Maintenance;
 	readonly #receiver: DatagramReceiver;
 	#self: Member;
@@ -72,7 +74,10 @@
 			this.#declareDead(member);
 		});
 		this.#claims = this.#createClaimReceiver();
-		this.#maintenance = new Maintenance(context, {prober: this.#prober, schedule: this.#schedule, exchange});
+		this.#pusher = new UpdatePusher(context, sender);
+		this.#maintenance = new Maintenance(context, {
+			prober: this.#prober, schedule: this.#schedule, exchange, pusher: this.#pusher,
+		});
 		this.#receiver = new DatagramReceiver(context, {prober: this.#prober, exchange, claims: this.#claims});
 		this.#subscribe();
 	}
@@ -117,7 +122,7 @@
 	/** Tells the fleet that this process takes no new work. */
 	announceLeaving(): void {
 		this.#setSelf({...this.#self, state: 'leaving'});
-		this.#pushToSome();
+		this.#pusher.pushNow();
 	}
 
 	/** Announces the version that this process has in force; lower versions are ignored. */
@@ -125,7 +130,7 @@
 		if (version > this.#self.documentVersion) {
 			this.#self = {...this.#self, documentVersion: version};
 			this.#context.table.set(this.#self);
-			this.#pushToSome();
+			this.#pusher.pushNow();
 		}
 	}
 
@@ -133,7 +138,7 @@
 	stop(): void {
 		if (this.#self.state === 'leaving') {
 			this.#setSelf({...this.#self, state: 'dead'});
-			this.#pushToSome();
+			this.#pusher.pushNow();
 		}
 
 		this.#stopped = true;
@@ -183,13 +188,6 @@
 		});
 	}
 
-	#pushToSome(): void {
-		const {table, random, settings} = this.#context;
-		for (const hostId of sample(table.others(), settings.pushFanout, random)) {
-			this.#prober.pingMember(hostId);
-		}
-	}
-
 	#suspect(member: Member): void {
 		const known = this.#context.table.get(member.hostId);
 		const sameProcess = known?.startedUnixMs === member.startedUnixMs;
--- a/packages/coordination/src/membership/core/maintenance.ts
+++ b/packages/coordination/src/membership/core/maintenance.ts
@@ -4,8 +4,13 @@
 import {type Prober} from './prober.js';
 import {type ProbeSchedule} from './probe-schedule.js';
 import {type TableExchange} from './table-exchange.js';
+import {type UpdatePusher} from './update-pusher.js';
 
-export type MaintenanceParts = {prober: Prober; schedule: ProbeSchedule; exchange: TableExchange};
+// Members that start together learn of each other through a few seeds, and miss some; early exchanges
+// find the rest long before the periodic one.
+const earlyExchangesMs = [1000, 3000, 9000];
+
+export type MaintenanceParts = {prober: Prober; schedule: ProbeSchedule; exchange: TableExchange; pusher: UpdatePusher};
 
 /** Periodic work: probes, table exchanges, probes of dead members and contact with seeds. */
 export class Maintenance {
@@ -31,13 +36,19 @@
 	}
 
 	#subscribe(): void {
-		const {settings} = this.context;
+		const {settings, timers} = this.context;
+		this.#subscriptions.push(...earlyExchangesMs.map(delayMs => timers.after(delayMs, () => {
+			this.#exchangeWithOne();
+		})));
 		this.#every(settings.probeIntervalMs, () => {
 			this.#probeNext();
 		});
 		this.#every(settings.exchangeIntervalMs, () => {
 			this.#exchangeWithOne();
 		});
+		this.#every(settings.pushIntervalMs, () => {
+			this.parts.pusher.pushWaiting();
+		});
 		this.#every(settings.deadProbeIntervalMs, () => {
 			this.#probeDead();
 		});
@@ -73,7 +84,7 @@
 
 	#contactSeeds(addresses: readonly string[], count: number): void {
 		for (const address of sample(addresses, count, this.context.random)) {
-			this.parts.exchange.request(address);
+			this.parts.exchange.start(address);
 		}
 	}
 
--- a/packages/coordination/src/membership/core/member-table.ts
+++ b/packages/coordination/src/membership/core/member-table.ts
@@ -1,6 +1,7 @@
 import {type Member, type MemberListener} from '../definitions.js';
+import {combineDigests, digestMember, type MemberDigest} from '../domain/table-digest.js';
 
-type Entry = {member: Member; stateSinceMs: number};
+type Entry = {member: Member; stateSinceMs: number; digest: MemberDigest | undefined};
 
 /** The known members by host, this process included. */
 export class MemberTable {
@@ -42,13 +43,22 @@
 		const previous = entry?.member;
 		const sameState = previous?.state === member.state;
 		const stateSinceMs = entry && sameState ? entry.stateSinceMs : this.nowMs();
-		this.#entries.set(member.hostId, {member, stateSinceMs});
+		this.#entries.set(member.hostId, {member, stateSinceMs, digest: undefined});
 		this.#changed(!sameState);
 		for (const listener of this.#listeners) {
 			listener(member, previous);
 		}
 	}
 
+	/** Digest of each bucket. */
+	digests(): number[] {
+		return combineDigests([...this.#entries.values()].map(entry => this.#digest(entry)));
+	}
+
+	inBuckets(buckets: ReadonlySet<number>): Member[] {
+		return [...this.#entries.values()].filter(entry => buckets.has(this.#digest(entry).bucket)).map(entry => entry.member);
+	}
+
 	/** Removes the members that have been dead for longer than `retentionMs`. */
 	removeDead(retentionMs: number): void {
 		const boundMs = this.nowMs() - retentionMs;
@@ -66,6 +76,11 @@
 		};
 	}
 
+	#digest(entry: Entry): MemberDigest {
+		entry.digest ??= digestMember(entry.member);
+		return entry.digest;
+	}
+
 	#hostIds(filter: (member: Member) => boolean): string[] {
 		return this.list().filter(member => member.hostId !== this.selfId && filter(member)).map(member => member.hostId);
 	}
--- a/packages/coordination/src/membership/core/table-exchange.ts
+++ b/packages/coordination/src/membership/core/table-exchange.ts
@@ -1,45 +1,88 @@
 import {create} from '@bufbuild/protobuf';
-import {type GossipExchange, GossipExchangeSchema, type GossipMember} from '@dogwoodthread/protocol';
+import {type GossipExchange, GossipExchangeSchema} from '@dogwoodthread/protocol';
+import {type Member} from '../definitions.js';
+import {sample, shuffle} from '../domain/random.js';
+import {bucketCount} from '../domain/table-digest.js';
 import {
 	encodedSizeBytes, encodeDatagram, encodeMember, toWireMember,
 } from './datagram-codec.js';
 import {type DatagramSender} from './datagram-sender.js';
 import {type GossipContext} from './gossip-context.js';
 
-/** Full exchange of the member table, split over datagrams. Repairs what single updates missed. */
+// Own digests or wanted buckets ride with the members of a chunk.
+const bucketFieldsBytes = 2 * bucketCount;
+
+/**
+ * Exchange of member tables. Repairs what single updates missed. Digests of buckets are compared
+ * first, since a table of thousands of members takes hundreds of datagrams.
+ */
 export class TableExchange {
 	constructor(private readonly context: GossipContext, private readonly sender: DatagramSender) {}
 
-	/** Sends only this member's own entry and asks for the receiver's table. */
-	request(address: string): void {
-		this.#send(address, [toWireMember(this.context.self())], true);
+	/** Sends the digests of the own table; the receiver answers with what differs. */
+	start(address: string): void {
+		this.#send(address, {bucketDigests: this.context.table.digests()});
 	}
 
-	/** Sends the whole table and asks for the receiver's. */
-	start(address: string): void {
-		this.#sendTable(address, true);
+	/** Continues the exchange; `learnedMembers` tells whether the datagram brought unknown members. */
+	receive(fromAddress: string, exchange: GossipExchange, learnedMembers: boolean): void {
+		if (exchange.bucketDigests.length === bucketCount) {
+			this.#answerDigests(fromAddress, exchange.bucketDigests);
+		}
+
+		if (exchange.wantedBuckets.length > 0) {
+			this.#sendMembers(fromAddress, this.context.table.inBuckets(new Set(exchange.wantedBuckets)), {});
+		}
+
+		if (exchange.moreDiffer && learnedMembers) {
+			this.#continueSoon();
+		}
 	}
 
-	receive(fromAddress: string, {replyWanted}: GossipExchange): void {
-		if (replyWanted) {
-			this.#sendTable(fromAddress, false);
+	#answerDigests(address: string, digests: readonly number[]): void {
+		const own = this.context.table.digests();
+		const differing = shuffle([...own.keys()].filter(bucket => own[bucket] !== digests[bucket]), this.context.random);
+		if (differing.length > 0) {
+			const covered = this.#coverBudget(differing);
+			const members = this.context.table.inBuckets(new Set(covered));
+			this.#sendMembers(address, members, {wantedBuckets: covered, moreDiffer: covered.length < differing.length});
 		}
 	}
 
-	#sendTable(address: string, replyWanted: boolean): void {
-		const chunks = this.#chunks();
+	/** As many buckets as one answer may hold, at least one. */
+	#coverBudget(buckets: number[]): number[] {
+		const {settings, table} = this.context;
+		const meanBytes = (table.size / bucketCount) * encodedSizeBytes(encodeMember(this.context.self()));
+		return buckets.slice(0, Math.max(1, Math.floor(settings.exchangeBytes / meanBytes)));
+	}
+
+	/** A process that has just started fetches the rest of the table from another member. */
+	#continueSoon(): void {
+		const {timers, settings, table, random} = this.context;
+		timers.after(settings.probeTimeoutMs, () => {
+			const [hostId] = sample(table.others(), 1, random);
+			if (hostId !== undefined) {
+				this.start(table.get(hostId)!.gossipAddress);
+			}
+		});
+	}
+
+	#sendMembers(address: string, members: readonly Member[], last: {wantedBuckets?: number[]; moreDiffer?: boolean}): void {
+		const chunks = this.#chunks(members);
 		for (const [index, chunk] of chunks.entries()) {
-			this.#send(address, chunk, replyWanted && index === chunks.length - 1);
+			const fields = index === chunks.length - 1 ? last : {};
+			this.#send(address, {members: chunk.map(member => toWireMember(member)), ...fields});
 		}
 	}
 
-	#chunks(): GossipMember[][] {
-		const {settings, table} = this.context;
-		const emptyBytes = encodeDatagram(this.sender.header(), {case: 'exchange', value: create(GossipExchangeSchema, {replyWanted: true})}).length;
-		const budgetBytes = settings.maxDatagramBytes - emptyBytes - 3;
-		const chunks: GossipMember[][] = [];
-		let leftBytes = 0;
-		for (const member of table.list()) {
+	/** Members split so that each part fits one datagram; at least one part. */
+	#chunks(members: readonly Member[]): Member[][] {
+		const {settings} = this.context;
+		const emptyBytes = encodeDatagram(this.sender.header(), {case: 'exchange', value: create(GossipExchangeSchema)}).length;
+		const budgetBytes = settings.maxDatagramBytes - emptyBytes - bucketFieldsBytes;
+		const chunks: Member[][] = [[]];
+		let leftBytes = budgetBytes;
+		for (const member of members) {
 			const sizeBytes = encodedSizeBytes(encodeMember(member));
 			if (sizeBytes > leftBytes) {
 				chunks.push([]);
@@ -47,13 +90,13 @@
 			}
 
 			leftBytes -= sizeBytes;
-			chunks.at(-1)!.push(toWireMember(member));
+			chunks.at(-1)!.push(member);
 		}
 
 		return chunks;
 	}
 
-	#send(address: string, members: GossipMember[], replyWanted: boolean): void {
-		this.sender.send(address, {case: 'exchange', value: create(GossipExchangeSchema, {members, replyWanted})});
+	#send(address: string, fields: Parameters<typeof create<typeof GossipExchangeSchema>>[1]): void {
+		this.sender.send(address, {case: 'exchange', value: create(GossipExchangeSchema, fields)});
 	}
 }
--- a/packages/coordination/src/membership/core/update-queue.ts
+++ b/packages/coordination/src/membership/core/update-queue.ts
@@ -1,5 +1,5 @@
 import {type Member} from '../definitions.js';
-import {encodedSizeBytes, encodeMember} from './datagram-codec.js';
+import {encodedSizeBytes, encodeUpdate} from './datagram-codec.js';
 
 type Entry = {encoded: Uint8Array; transmissions: number};
 
@@ -15,7 +15,7 @@
 	add(member: Member): void {
 		// Deleting first moves the update to the end of the insertion order.
 		this.#entries.delete(member.hostId);
-		this.#entries.set(member.hostId, {encoded: encodeMember(member), transmissions: 0});
+		this.#entries.set(member.hostId, {encoded: encodeUpdate(member), transmissions: 0});
 	}
 
 	/** Encoded updates that fit, the least often sent first. */
--- a/packages/coordination/src/membership/domain/counters.ts
+++ b/packages/coordination/src/membership/domain/counters.ts
@@ -1,5 +1,5 @@
 /** Kinds of datagrams. */
-export const datagramKinds = ['ping', 'ack', 'pingRequest', 'exchange'] as const;
+export const datagramKinds = ['ping', 'ack', 'pingRequest', 'exchange', 'push'] as const;
 
 export type DatagramKind = (typeof datagramKinds)[number];
 
@@ -30,6 +30,7 @@
 	ack: {datagrams: 0, bytes: 0},
 	pingRequest: {datagrams: 0, bytes: 0},
 	exchange: {datagrams: 0, bytes: 0},
+	push: {datagrams: 0, bytes: 0},
 });
 
 export const createCounters = (): GossipCounters => ({
--- a/packages/coordination/src/membership/domain/settings.ts
+++ b/packages/coordination/src/membership/domain/settings.ts
@@ -13,6 +13,12 @@
 	maxDatagramBytes: number;
 	/** Members that a new document version and a departure are announced to at once. */
 	pushFanout: number;
+	/** Time between pushes while updates wait to be sent. */
+	pushIntervalMs: number;
+	/** Bytes of pushes in a second, at most. */
+	pushBytesPerSecond: number;
+	/** Size of the members that one answer of an exchange holds, at most. */
+	exchangeBytes: number;
 	/** Members that are asked in one probe interval to confirm a state that another member contests. */
 	maxVerificationsPerInterval: number;
 };
@@ -29,6 +35,11 @@
 	// Fits one Ethernet frame with room for tunnel headers, so that datagrams are not fragmented.
 	maxDatagramBytes: 1200,
 	pushFanout: 3,
+	pushIntervalMs: 200,
+	// With probes and exchanges this stays under 10 kB/s, also when a failure domain fails at once.
+	pushBytesPerSecond: 4000,
+	// Fits the default receive buffer of a Linux socket (208 KiB, where a datagram takes about 2.3 kB).
+	exchangeBytes: 48_000,
 	maxVerificationsPerInterval: 20,
 };
 
@@ -39,5 +50,8 @@
 export const suspicionTimeoutMs = (settings: GossipSettings, memberCount: number): number =>
 	settings.suspicionTimeoutMs * (1 + (0.25 * Math.log10(Math.max(1, memberCount / 10))));
 
-/** Number of datagrams that an update is sent with. */
-export const retransmissions = (memberCount: number): number => Math.ceil(Math.log2(memberCount + 1)) + 2;
+/**
+ * Number of datagrams that each member sends an update with. Random targets leave a member out with a
+ * probability of about e^-count; part of the datagrams are answers to members that know the update.
+ */
+export const retransmissions = (memberCount: number): number => Math.ceil(Math.log2(memberCount + 1)) + 4;
--- a/packages/coordination/src/timer/infra/manual-timer-service.ts
+++ b/packages/coordination/src/timer/infra/manual-timer-service.ts
@@ -1,11 +1,12 @@
 import {type TimerService, type TimerSubscription} from '../definitions.js';
 
-type Entry = {dueMs: number; intervalMs: number | undefined; callback: () => void};
+type Entry = {dueMs: number; intervalMs: number | undefined; callback: () => void; cancelled: boolean};
 
 /** Time that moves only when told to; for tests and for embedders that simulate. */
 export class ManualTimerService implements TimerService {
 	#nowMs = 0;
-	readonly #entries = new Set<Entry>();
+	// Sorted by due time, the next one last. Simulated fleets keep thousands of entries, too many to sort each time.
+	readonly #entries: Entry[] = [];
 
 	constructor(private readonly startWallClockMs = 1_700_000_000_000) {}
 
@@ -36,10 +37,9 @@
 		const targetMs = this.#nowMs + byMs;
 		for (let next = this.#nextDue(targetMs); next; next = this.#nextDue(targetMs)) {
 			this.#nowMs = Math.max(this.#nowMs, next.dueMs);
-			this.#entries.delete(next);
 			if (next.intervalMs !== undefined) {
 				next.dueMs += next.intervalMs;
-				this.#entries.add(next);
+				this.#insert(next);
 			}
 
 			next.callback();
@@ -58,19 +58,43 @@
 		}
 	}
 
-	#schedule(entry: Entry): TimerSubscription {
-		this.#entries.add(entry);
+	#schedule({dueMs, intervalMs, callback}: Omit<Entry, 'cancelled'>): TimerSubscription {
+		const entry: Entry = {
+			dueMs, intervalMs, callback, cancelled: false,
+		};
+		this.#insert(entry);
 		return {
-			cancel: () => {
-				this.#entries.delete(entry);
+			cancel() {
+				entry.cancelled = true;
 			},
 		};
 	}
 
+	/** Puts the entry before all that are due earlier or at the same time, which then run first. */
+	#insert(entry: Entry): void {
+		let low = 0;
+		let high = this.#entries.length;
+		while (low < high) {
+			const middle = Math.floor((low + high) / 2);
+			if (this.#entries[middle]!.dueMs > entry.dueMs) {
+				low = middle + 1;
+			} else {
+				high = middle;
+			}
+		}
+
+		this.#entries.splice(low, 0, entry);
+	}
+
+	/** Takes out the next entry that is due by `targetMs`. */
 	#nextDue(targetMs: number): Entry | undefined {
-		return [...this.#entries]
-			.filter(entry => entry.dueMs <= targetMs)
-			.sort((a, b) => a.dueMs - b.dueMs)
-			.at(0);
+		for (let next = this.#entries.at(-1); next && next.dueMs <= targetMs; next = this.#entries.at(-1)) {
+			this.#entries.pop();
+			if (!next.cancelled) {
+				return next;
+			}
+		}
+
+		return undefined;
 	}
 }
