--- a/packages/coordination/src/membership/core/claim-receiver.ts
+++ b/packages/coordination/src/membership/core/claim-receiver.ts
@@ -38,8 +38,16 @@
 		}
 	}
 
-	/** Puts an entry into the table, spreads it and counts refutations. */
+	/** Puts an entry into the table and spreads it. */
 	apply(member: Member): void {
+		this.#store(member, true);
+	}
+
+	/**
+	 * What an exchange brought is not spread: a member that has just started would otherwise send the
+	 * whole table on, and the others have exchanges of their own.
+	 */
+	#store(member: Member, spread: boolean): void {
 		const {table, queue, counters} = this.context;
 		const known = table.get(member.hostId);
 		const sameProcess = known?.startedUnixMs === member.startedUnixMs;
@@ -55,13 +63,15 @@
 		const documentVersion = sameProcess ? Math.max(known.documentVersion, member.documentVersion) : member.documentVersion;
 		const entry = {...member, documentVersion};
 		table.set(entry);
-		queue.add(entry);
+		if (spread) {
+			queue.add(entry);
+		}
 	}
 
 	#resolve(known: Member | undefined, claim: Member, source: ClaimSource): void {
 		switch (resolveClaim(known, claim, source)) {
 			case 'accept': {
-				this.apply(claim);
+				this.#store(claim, source === 'update');
 
 				break;
 			}
--- a/packages/coordination/src/membership/core/datagram-receiver.ts
+++ b/packages/coordination/src/membership/core/datagram-receiver.ts
@@ -33,6 +33,10 @@
 			this.parts.claims.receive(update, 'update');
 		}
 
+		if (!this.context.table.get(datagram.fromHostId)) {
+			this.parts.exchange.receiveUnknown(fromAddress);
+		}
+
 		this.#noteDocumentVersion(datagram);
 		this.#receiveMessage(fromAddress, datagram);
 	}
--- a/packages/coordination/src/membership/core/table-exchange.ts
+++ b/packages/coordination/src/membership/core/table-exchange.ts
@@ -17,6 +17,9 @@
  * first, since a table of thousands of members takes hundreds of datagrams.
  */
 export class TableExchange {
+	#continues = false;
+	#unknownSeenMs = Number.NEGATIVE_INFINITY;
+
 	constructor(private readonly context: GossipContext, private readonly sender: DatagramSender) {}
 
 	/** Sends the digests of the own table; the receiver answers with what differs. */
@@ -34,18 +37,27 @@
 			this.#sendMembers(fromAddress, this.context.table.inBuckets(new Set(exchange.wantedBuckets)), {});
 		}
 
-		if (exchange.moreDiffer && learnedMembers) {
+		if (learnedMembers) {
 			this.#continueSoon();
 		}
 	}
 
+	/** A member that is missing here sent a datagram: what else is missing? */
+	receiveUnknown(fromAddress: string): void {
+		const nowMs = this.context.timers.nowMs();
+		if (nowMs - this.#unknownSeenMs >= this.context.settings.probeIntervalMs) {
+			this.#unknownSeenMs = nowMs;
+			this.start(fromAddress);
+		}
+	}
+
 	#answerDigests(address: string, digests: readonly number[]): void {
 		const own = this.context.table.digests();
 		const differing = shuffle([...own.keys()].filter(bucket => own[bucket] !== digests[bucket]), this.context.random);
 		if (differing.length > 0) {
 			const covered = this.#coverBudget(differing);
 			const members = this.context.table.inBuckets(new Set(covered));
-			this.#sendMembers(address, members, {wantedBuckets: covered, moreDiffer: covered.length < differing.length});
+			this.#sendMembers(address, members, {wantedBuckets: covered});
 		}
 	}
 
@@ -56,10 +68,16 @@
 		return buckets.slice(0, Math.max(1, Math.floor(settings.exchangeBytes / meanBytes)));
 	}
 
-	/** A process that has just started fetches the rest of the table from another member. */
+	/** An exchange that brought unknown members is followed by one with another member, as more may be missing. */
 	#continueSoon(): void {
 		const {timers, settings, table, random} = this.context;
+		if (this.#continues) {
+			return;
+		}
+
+		this.#continues = true;
 		timers.after(settings.probeTimeoutMs, () => {
+			this.#continues = false;
 			const [hostId] = sample(table.others(), 1, random);
 			if (hostId !== undefined) {
 				this.start(table.get(hostId)!.gossipAddress);
@@ -67,7 +85,7 @@
 		});
 	}
 
-	#sendMembers(address: string, members: readonly Member[], last: {wantedBuckets?: number[]; moreDiffer?: boolean}): void {
+	#sendMembers(address: string, members: readonly Member[], last: {wantedBuckets?: number[]}): void {
 		const chunks = this.#chunks(members);
 		for (const [index, chunk] of chunks.entries()) {
 			const fields = index === chunks.length - 1 ? last : {};
