--- a/packages/coordination/src/membership/core/datagram-receiver.ts
+++ b/packages/coordination/src/membership/core/datagram-receiver.ts
@@ -33,6 +33,10 @@
 			this.parts.claims.receive(update, 'update');
 		}
 
+		if (!this.context.table.get(datagram.fromHostId)) {
+			this.parts.exchange.receiveUnknown(fromAddress);
+		}
+
 		this.#noteDocumentVersion(datagram);
 		this.#receiveMessage(fromAddress, datagram);
 	}
@@ -67,12 +71,17 @@
 				break;
 			}
 
+			case 'push': {
+				break;
+			}
+
 			case 'exchange': {
+				const learnedMembers = members.some(member => !this.context.table.get(member.hostId));
 				for (const member of members) {
 					this.parts.claims.receive(member, 'exchange');
 				}
 
-				this.parts.exchange.receive(fromAddress, message.value);
+				this.parts.exchange.receive(fromAddress, message.value, learnedMembers);
 			}
 		}
 	}
