Compute the burn of service-level objectives

Cause: operators need to see what uses up their error budgets, while hosts keep nothing and their counters start again at each restart. Change: pure functions from samples of counters by host and incarnation to burn rates over 5 min, 1 h, 6 h and 3 d, budget left and causes.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -10,5 +10,6 @@
 export * from './platform/index.js';
 export * from './read-routing/index.js';
 export * from './retry-budget/index.js';
+export * from './service-level/index.js';
 export type * from './session-token/index.js';
 export * from './timer/index.js';
--- /dev/null
+++ b/packages/coordination/src/service-level/index.ts
@@ -0,0 +1,5 @@
+/** Burn of service-level objectives from counters of many hosts that restart and come and go. */
+export type {
+	BurnCause, BurnReport, BurnState, BurnWindow, LatencyCount, Objective, ObjectiveKind, RequestCount, ServiceSample,
+} from './definitions.js';
+export {burnSeries, burnWindows, reportBurn} from './domain/burn-report.js';
