Add dogwoodctl report

Cause: operators see burn only if someone keeps the counters that hosts lose when they restart. Change: registerReport adds the command; it reads /metrics of the proxies, appends samples to a file on the operator's side and prints a table, JSON or writes one HTML page with inline SVG plots.

--- /dev/null
+++ b/packages/ctl/src/report/domain/prometheus-text.ts
@@ -0,0 +1,27 @@
+/** One line of Prometheus' text format. */
+export type MetricLine = {
+	name: string;
+	labels: Record<string, string>;
+	value: number;
+};
+
+const linePattern = /^([a-zA-Z_:][\w:]*)(?:{(.*)})?\s+(\S+)(?:\s+-?\d+)?$/;
+const labelPattern = /\s*([a-zA-Z_]\w*)="((?:[^"\\]|\\.)*)"\s*(?:,|$)/gy;
+
+const unescapeLabel = (text: string): string =>
+	text.replaceAll(/\\(.)/g, (_, escaped: string) => escaped === 'n' ? '\n' : escaped);
+
+const parseValue = (text: string): number => {
+	const special: Record<string, number> = {'+Inf': Infinity, '-Inf': -Infinity, NaN: Number.NaN};
+	return special[text] ?? Number(text);
+};
+
+const parseLabels = (text: string): Record<string, string> =>
+	Object.fromEntries([...text.matchAll(labelPattern)].map(([, name, value]) => [name!, unescapeLabel(value!)]));
+
+/** Parses Prometheus' text exposition format 0.0.4; comments and lines of another form are left out. */
+export const parsePrometheusText = (text: string): MetricLine[] =>
+	text.split('\n').flatMap(line => {
+		const found = line.startsWith('#') ? null : linePattern.exec(line.trim());
+		return found ? [{name: found[1]!, labels: parseLabels(found[2] ?? ''), value: parseValue(found[3]!)}] : [];
+	});
--- /dev/null
+++ b/packages/ctl/src/report/domain/report-text.ts
@@ -0,0 +1,43 @@
+import {type BurnCause} from '@dogwoodthread/coordination';
+import {type ServiceLevelReport} from '../definitions.js';
+import {
+	describeObjective, formatCount, formatPercent, formatRate, formatTime,
+} from './format.js';
+
+/** Causes listed for each objective; the rest adds little to any budget. */
+export const shownCauses = 5;
+
+const table = (rows: string[][]): string => {
+	const widths = rows[0]!.map((_, column) => Math.max(...rows.map(row => row[column]!.length)));
+	return rows.map(row => row.map((cell, column) => cell.padEnd(widths[column]!)).join('  ').trimEnd()).join('\n');
+};
+
+const causeText = ({outcome, code, database, workClass, bad, share}: BurnCause): string =>
+	`    ${formatPercent(share)} (${formatCount(bad)}): ${outcome}${code ? ` ${code}` : ''}, database ${database}, class ${workClass}`;
+
+const basis = ({atUnixMs, sampleCount, firstSampleUnixMs}: ServiceLevelReport): string =>
+	firstSampleUnixMs === undefined
+		? `${formatTime(atUnixMs)}: no samples yet`
+		: `${formatTime(atUnixMs)}: ${sampleCount} samples since ${formatTime(firstSampleUnixMs)}`;
+
+/** The report as a table with the causes of each objective below it. */
+export const reportText = (report: ServiceLevelReport): string => {
+	const windowNames = report.objectives[0]?.windows.map(({name}) => `burn ${name}`) ?? [];
+	const rows = report.objectives.map(({objective, state, windows, budgetLeft, bad, total}) => [
+		objective.name, state, ...windows.map(({burnRate}) => formatRate(burnRate)), formatPercent(budgetLeft), `${formatCount(bad)} of ${formatCount(total)}`,
+	]);
+	const causes = report.objectives.flatMap(({objective, causes: found}) => [
+		`${objective.name}: ${describeObjective(objective)}`,
+		...(found.length === 0 ? ['    nothing burnt'] : found.slice(0, shownCauses).map(cause => causeText(cause))),
+	]);
+	const unread = report.unreadProxies.length === 0 ? [] : [`Not read this time: ${report.unreadProxies.join(', ')}`];
+	return [
+		basis(report),
+		...unread,
+		'',
+		table([['objective', 'state', ...windowNames, 'budget left', 'bad'], ...rows]),
+		'',
+		...causes,
+		'',
+	].join('\n');
+};
--- /dev/null
+++ b/packages/ctl/src/report/index.ts
@@ -0,0 +1,2 @@
+/** The command `dogwoodctl report`: burn of service-level objectives from the proxies' counters. */
+export {registerReport, runReport, type ReportOptions} from './infra/register-report.js';
--- /dev/null
+++ b/packages/ctl/src/report/infra/json-lines-sample-store.ts
@@ -0,0 +1,52 @@
+import {appendFile, readFile} from 'node:fs/promises';
+import {type ServiceSample} from '@dogwoodthread/coordination';
+import {err, ok, ResultAsync} from 'neverthrow';
+import {z} from 'zod';
+import {type ReportError, type SampleStore} from '../definitions.js';
+
+const kind = {
+	database: z.string(), workClass: z.string(), outcome: z.string(), count: z.number(),
+};
+const sampleSchema = z.object({
+	atUnixMs: z.number(),
+	host: z.string(),
+	startedUnixMs: z.number(),
+	requests: z.array(z.object({...kind, code: z.string()})),
+	latencies: z.array(z.object({...kind, upToMs: z.number().nullable()})),
+});
+
+const parseLine = (line: string): ServiceSample | undefined => {
+	try {
+		return sampleSchema.safeParse(JSON.parse(line)).data;
+	} catch {
+		return undefined;
+	}
+};
+
+/** Samples in a file, one JSON object a line. */
+export class JsonLinesSampleStore implements SampleStore {
+	constructor(private readonly path: string) {}
+
+	append(samples: readonly ServiceSample[]): ResultAsync<void, ReportError> {
+		// A line that an interrupted run left unfinished must not swallow the next one.
+		const text = samples.map(sample => `\n${JSON.stringify(sample)}\n`).join('');
+		return ResultAsync.fromPromise(appendFile(this.path, text), cause => this.#failure('written', cause));
+	}
+
+	readAll(): ResultAsync<{samples: ServiceSample[]; damagedLines: number}, ReportError> {
+		return ResultAsync.fromPromise(readFile(this.path, 'utf8'), cause => cause)
+			.orElse(cause => cause instanceof Error && 'code' in cause && cause.code === 'ENOENT' ? ok('') : err(this.#failure('read', cause)))
+			.map(text => {
+				const lines = text.split('\n').filter(Boolean);
+				const samples = lines.map(line => parseLine(line)).filter(sample => sample !== undefined);
+				return {samples, damagedLines: lines.length - samples.length};
+			});
+	}
+
+	#failure(done: string, cause: unknown): ReportError {
+		return {
+			kind: 'samples-unavailable',
+			message: `The samples file ${this.path} cannot be ${done} (${cause instanceof Error ? cause.message : String(cause)}); check the path and its permissions.`,
+		};
+	}
+}
--- /dev/null
+++ b/packages/ctl/src/report/infra/register-report.ts
@@ -0,0 +1,102 @@
+import {writeFile} from 'node:fs/promises';
+import {SystemTimerService} from '@dogwoodthread/coordination';
+import {type CAC} from 'cac';
+import {
+	err, ok, ResultAsync, type Result,
+} from 'neverthrow';
+import {destination, pino, type Logger} from 'pino';
+import {buildReport, collectSamples} from '../core/build-report.js';
+import {type ReportError, type ServiceLevelReport} from '../definitions.js';
+import {reportHtml} from '../domain/report-html.js';
+import {reportText} from '../domain/report-text.js';
+import {HttpMetricsReader} from './http-metrics-reader.js';
+import {JsonLinesSampleStore} from './json-lines-sample-store.js';
+import {YamlObjectives} from './yaml-objectives.js';
+
+export type ReportOptions = {
+	proxy?: string | string[];
+	samples?: string;
+	objectives?: string;
+	json?: boolean;
+	html?: string;
+};
+
+type UsedOptions = {proxies: string[]; samples: string; objectives: string; json: boolean; html: string | undefined};
+
+const usedOptions = ({proxy = [], samples, objectives, json = false, html}: ReportOptions): UsedOptions | undefined =>
+	typeof samples === 'string' && typeof objectives === 'string' && (html === undefined || typeof html === 'string')
+		? {
+			proxies: [proxy].flat().flatMap(list => String(list).split(',')).filter(Boolean), samples, objectives, json, html,
+		}
+		: undefined;
+
+const produce = async (options: UsedOptions, logger: Logger): Promise<Result<ServiceLevelReport, ReportError>> => {
+	const objectives = await new YamlObjectives(options.objectives).read();
+	if (objectives.isErr()) {
+		return err(objectives.error);
+	}
+
+	const timers = new SystemTimerService();
+	const {samples, unread} = await collectSamples({
+		proxies: options.proxies,
+		reader: new HttpMetricsReader(timers),
+		onUnread(proxy, error) {
+			logger.warn({proxy, kind: error.kind}, error.message);
+		},
+	});
+	const store = new JsonLinesSampleStore(options.samples);
+	const stored = await store.append(samples).andThen(() => store.readAll());
+	return stored.map(({samples: all, damagedLines}) => {
+		if (damagedLines > 0) {
+			logger.warn({damagedLines}, 'Lines of the samples file cannot be read and are left out; remove them.');
+		}
+
+		return buildReport({
+			objectives: objectives.value, samples: all, unreadProxies: unread, nowUnixMs: timers.wallClockMs(),
+		});
+	});
+};
+
+const writePage = async (path: string | undefined, report: ServiceLevelReport): Promise<Result<void, ReportError>> =>
+	path === undefined
+		? ok(undefined)
+		: ResultAsync.fromPromise(writeFile(path, reportHtml(report)), cause => ({
+			kind: 'output-failed' as const,
+			message: `The page ${path} cannot be written (${cause instanceof Error ? cause.message : String(cause)}); check the path and its permissions.`,
+		}));
+
+/** Runs the report and gives the exit code: 0 done, 1 failed, 2 wrong usage or objectives. */
+export const runReport = async (given: ReportOptions, logger: Logger, print: (text: string) => void): Promise<number> => {
+	const options = usedOptions(given);
+	if (!options) {
+		logger.error('State --samples FILE and --objectives FILE; --html needs a file too.');
+		return 2;
+	}
+
+	const report = await produce(options, logger);
+	const written = report.isOk() ? await writePage(options.html, report.value) : report;
+	if (report.isErr() || written.isErr()) {
+		const error = report.isErr() ? report.error : written._unsafeUnwrapErr();
+		logger.error({kind: error.kind}, error.message);
+		return error.kind === 'objectives-invalid' ? 2 : 1;
+	}
+
+	print(options.json ? `${JSON.stringify(report.value, undefined, 2)}\n` : reportText(report.value));
+	return options.proxies.length > 0 && report.value.unreadProxies.length === options.proxies.length ? 1 : 0;
+};
+
+/** Adds the command `report` to `dogwoodctl`. */
+export const registerReport = (cli: CAC): void => {
+	cli.command('report', 'Reads the counters of the proxies and reports the burn of service-level objectives')
+		.option('--proxy <address>', 'Admin address of a proxy; repeat it or separate addresses by commas. Without it only stored samples are used')
+		.option('--samples <file>', 'JSON lines file that keeps the samples; new ones are appended')
+		.option('--objectives <file>', 'YAML file with the objectives')
+		.option('--json', 'Print JSON instead of a table')
+		.option('--html <file>', 'Also write one self-contained HTML page')
+		.action(async (options: ReportOptions) => {
+			const logger = pino({name: 'dogwoodctl'}, destination({fd: 2, sync: true}));
+			process.exitCode = await runReport(options, logger, text => {
+				process.stdout.write(text);
+			});
+		});
+};
