--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -13,4 +13,5 @@
 export * from './read-routing/index.js';
 export * from './retry-budget/index.js';
 export * from './session-token/index.js';
+export * from './service-level/index.js';
 export * from './timer/index.js';
