--- a/packages/load/src/checker/core/check-history.ts
+++ b/packages/load/src/checker/core/check-history.ts
@@ -3,7 +3,7 @@
 	type CheckOptions, type CheckReport, type GroupTruth, type Harm, type HarmKind, type HistoryCheck,
 } from '../definitions.js';
 import {
-	countUnknownOutcomes, findConnectionsOverCap, findCutRequests, findMixedAnswers, replicaReadShare,
+	countCodes, countUnknownOutcomes, findConnectionsOverCap, findCutRequests, findMixedAnswers, replicaReadShare,
 } from '../domain/answer-checks.js';
 import {findStaleSessionReads} from '../domain/session-checks.js';
 import {
@@ -48,6 +48,7 @@
 		maxConnectionsSeen: Object.fromEntries(truths.flatMap(truth =>
 			Object.entries(truth.maxConnectionsSeen).map(([member, seen]) => [`${truth.database}/${member}`, seen]))),
 		connectionsOverCap: count('connections-over-cap'),
+		codes: countCodes(history),
 		harms,
 	};
 };
--- a/packages/load/src/checker/definitions.ts
+++ b/packages/load/src/checker/definitions.ts
@@ -77,6 +77,8 @@
 	writesResumed: boolean;
 	maxConnectionsSeen: Record<string, number>;
 	connectionsOverCap: number;
+	/** Attempts by outcome and code, for those that were not done. */
+	codes: Record<string, number>;
 	harms: Harm[];
 };
 
--- a/packages/load/src/checker/domain/answer-checks.ts
+++ b/packages/load/src/checker/domain/answer-checks.ts
@@ -51,6 +51,17 @@
 	return done.isRepeated ? 'resolvedRun' : 'resolvedNotRun';
 };
 
+/** Attempts that were not done, by access, outcome and code. */
+export const countCodes = (history: readonly HistoryEntry[]): Record<string, number> => {
+	const counts: Record<string, number> = {};
+	for (const {access, outcome, code} of history.filter(entry => entry.outcome !== 'done')) {
+		const name = `${access} ${outcome} ${code}`;
+		counts[name] = (counts[name] ?? 0) + 1;
+	}
+
+	return counts;
+};
+
 /** Reads without a stated age, or with one above 0, may go to a replica. */
 export const replicaReadShare = (history: readonly HistoryEntry[]): number => {
 	const allowed = history.filter(entry => entry.access === 'read' && entry.outcome === 'done' && entry.maxAgeMs !== 0);
