--- a/packages/coordination/src/membership/core/gossip-membership.ts
+++ b/packages/coordination/src/membership/core/gossip-membership.ts
@@ -3,8 +3,7 @@
 	type DatagramTransport, type Member, type MemberListener, type MembershipView,
 } from '../definitions.js';
 import {createCounters, type GossipCounters} from '../domain/counters.js';
-import {type RandomSource, sample} from '../../random/index.js';
-import {type RandomSource} from '../domain/random.js';
+import {type RandomSource} from '../../random/index.js';
 import {defaultGossipSettings, type GossipSettings} from '../domain/settings.js';
 import {ClaimReceiver} from './claim-receiver.js';
 import {encodeMember} from './datagram-codec.js';
--- a/packages/coordination/src/membership/core/table-exchange.ts
+++ b/packages/coordination/src/membership/core/table-exchange.ts
@@ -1,7 +1,7 @@
 import {create} from '@bufbuild/protobuf';
 import {type GossipExchange, GossipExchangeSchema} from '@dogwoodthread/protocol';
 import {type Member} from '../definitions.js';
-import {sample, shuffle} from '../domain/random.js';
+import {sample, shuffle} from '../../random/index.js';
 import {bucketCount} from '../domain/table-digest.js';
 import {
 	encodedSizeBytes, encodeDatagram, encodeMember, toWireMember,
--- a/packages/coordination/src/membership/core/update-pusher.ts
+++ b/packages/coordination/src/membership/core/update-pusher.ts
@@ -1,6 +1,6 @@
 import {create} from '@bufbuild/protobuf';
 import {GossipPushSchema} from '@dogwoodthread/protocol';
-import {sample} from '../domain/random.js';
+import {sample} from '../../random/index.js';
 import {type DatagramSender} from './datagram-sender.js';
 import {type GossipContext} from './gossip-context.js';
 
--- a/packages/load/src/capacity/document-fleet.ts
+++ b/packages/load/src/capacity/document-fleet.ts
@@ -1,10 +1,10 @@
 import {
-	DocumentDissemination, type DocumentInForce, type ManualTimerService, type RandomSource,
+	DocumentDissemination, type DocumentReceiver, type ManualTimerService, type RandomSource,
 } from '@dogwoodthread/coordination';
 import {delaysMs, type FleetMember, type GossipFleet} from './gossip-fleet.js';
 import {SimulatedPlatform} from './simulated-platform.js';
 
-class Document implements DocumentInForce {
+class Document implements DocumentReceiver {
 	version = 0;
 
 	offer(version: number): void {
