Put the governing document in force on the proxies

Cause: limits, work classes and bounds were defaults of the code; the document was not followed by the daemon. Change: dissemination and `DocumentInForce` in the daemon, a live policy for each database, pools that follow the connection cap, readiness by the document's own bound, the replica selector in the read path. Conclusion: limits are now the operators' to set.

--- a/packages/coordination/src/document/domain/cross-checks.ts
+++ b/packages/coordination/src/document/domain/cross-checks.ts
@@ -1,5 +1,5 @@
+import {reservedConnectionsPerSeat, seatCount} from '../../ownership/index.js';
 import {type DocumentMistake, type SectionName} from '../definitions.js';
-import {firstRankShare, lowerRankShare, reservedConnectionsPerRank} from './limits.js';
 import {pathText, seenText} from './mistakes.js';
 import {type DatabaseLimits, type GoverningSections, type ServiceObjective} from './schema.js';
 
@@ -10,11 +10,8 @@
 	section, at, mistake: {path: pathText(section, at), ...facts, seen: seenText(facts.seen)},
 });
 
-/** Connections with which rank 0 can fill the slots and every lower rank has one for work. */
-const connectionsNeeded = (slots: number): number => Math.max(
-	Math.ceil((slots + reservedConnectionsPerRank) / firstRankShare),
-	Math.ceil((1 + reservedConnectionsPerRank) / lowerRankShare),
-);
+/** Connections with which the share of one rank, less what is reserved, can fill the slots. */
+const connectionsNeeded = (slots: number): number => seatCount * (slots + reservedConnectionsPerSeat);
 
 const checkDatabase = ([name, {slots, longSlots, connections}]: [string, DatabaseLimits]): CrossMistake[] => {
 	const found: CrossMistake[] = [];
@@ -30,7 +27,7 @@
 	if (connections < needed) {
 		found.push(mistake('databases', [name, 'connections'], {
 			seen: connections,
-			expected: `at least ${needed} for ${slots} slots: the share of rank 0 (0.6) less 2 must hold the slots, and the shares of ranks 1 and 2 (0.2 each) need 3`,
+			expected: `at least ${needed} for ${slots} slots: each of the ${seatCount} ranks gets an equal share, which less ${reservedConnectionsPerSeat} must hold the slots`,
 			remedy: `Raise connections to ${needed}, or lower slots.`,
 		}));
 	}
@@ -112,7 +109,7 @@
 export const crossCheckRules: readonly string[] = [
 	'There is at least one database.',
 	'`longSlots` is less than `slots`, so that short work always has a slot.',
-	'0.6 of `connections`, less 2, is at least `slots`, and 0.2 of `connections` is at least 3: each rank keeps one connection for its monitor stream and one for probes and control.',
+	'A third of `connections`, less 2, is at least `slots`: each of the three ranks keeps one connection for its monitor stream and one for probes and control.',
 	'`operations.unconfirmedBoundMs` is less than `operations.requestTimeoutMs`, so that writes are refused before they time out with an unknown outcome.',
 	'`operations.drainMs` is at least `operations.requestTimeoutMs`, so that a shutdown interrupts no request in flight.',
 	'`operations.detectionMs` is at least 10 times the largest `rttMs`, so that ordinary delays do not look like a failed primary.',
--- a/packages/coordination/src/document/domain/limits.ts
+++ b/packages/coordination/src/document/domain/limits.ts
@@ -9,12 +9,3 @@
 
 /** Recent changes kept in the document; each takes at most about 1.2 KB, since its texts are bounded. */
 export const maxRecentChanges = 64;
-
-/** Connections that each rank keeps for its monitor stream and for probes and control. */
-export const reservedConnectionsPerRank = 2;
-
-/** Share of an instance's connections that rank 0 gets. */
-export const firstRankShare = 0.6;
-
-/** Share of an instance's connections that rank 1 and rank 2 get, each. */
-export const lowerRankShare = 0.2;
--- a/packages/coordination/src/document/domain/schema.ts
+++ b/packages/coordination/src/document/domain/schema.ts
@@ -14,7 +14,7 @@
 	slots: z.number().int().min(2).max(1000)
 		.meta({description: 'Statements that one instance runs at the same time.'}),
 	connections: z.number().int().min(1).max(10_000)
-		.meta({description: 'Connections that one instance accepts from all proxies together. Rank 0 gets 0.6 of them, ranks 1 and 2 get 0.2 each.'}),
+		.meta({description: 'Connections that one instance accepts from all proxies together. Each of the three ranks gets a third of them.'}),
 	longSlots: z.number().int().min(1).max(999).optional()
 		.meta({description: 'Slots that long work may hold at most; below `slots`. Default: a third of `slots`, at least 1.'}),
 	queueLength: z.number().int().min(1).max(100_000).optional()
--- a/packages/load/src/deployment/core/deployment.ts
+++ b/packages/load/src/deployment/core/deployment.ts
@@ -40,6 +40,7 @@
 	async start(): Promise<void> {
 		const platform = await this.#programs.startWithArgs('platform', 'platform', ['--port', '0']);
 		this.#platform = new PlatformClient(`http://${platform.ready.address}`);
+		await this.#platform.createDocument(this.#plan.databases, {slots: this.#plan.slots, connections: this.#plan.maxConnections});
 		await Promise.all(this.#plan.databases.map(async (database, index) => this.#startGroup(database, index)));
 		await this.publishHosts();
 		await this.#startProxies();
--- a/packages/proxy/src/daemon/proxy-daemon.ts
+++ b/packages/proxy/src/daemon/proxy-daemon.ts
@@ -23,6 +23,9 @@
 /** Time for gossip to find the fleet before the databases of the settings are looked up. */
 const settleMs = 1000;
 
+/** How often the age of the document's confirmation is brought up to date. */
+const confirmationIntervalMs = 500;
+
 /** The proxy process: starts the parts and stops them without cutting requests. */
 export class ProxyDaemon {
 	readonly #timers = new SystemTimerService();
@@ -53,6 +56,8 @@
 		this.#parts.membership.join(settings.seeds);
 		this.#parts.keeper.start();
 		void this.#parts.hostList.run();
+		void this.#parts.dissemination.start();
+		this.#followConfirmation();
 		void this.#prepareDatabases();
 		return {
 			callerAddress, peerAddress, gossipAddress: this.#transport.address, adminAddress,
@@ -77,9 +82,10 @@
 	}
 
 	async #close(): Promise<void> {
-		const {owners, keeper, hostList, membership, peers} = this.#parts;
+		const {owners, keeper, hostList, membership, peers, dissemination} = this.#parts;
 		keeper.stop();
 		hostList.stop();
+		dissemination.stop();
 		owners.close();
 		membership.stop();
 		peers.close();
@@ -91,7 +97,7 @@
 	}
 
 	#servePeers(): void {
-		const {directory, holderCheck, owners, membership, connector} = this.#parts;
+		const {directory, holderCheck, owners, membership, connector, inForce} = this.#parts;
 		const handler = new PeerServiceHandler({
 			directory,
 			holderCheck,
@@ -99,7 +105,7 @@
 			membership,
 			connector,
 			timers: this.#timers,
-			document: {version: 0, content: undefined},
+			document: inForce,
 			track: this.#inFlight.track,
 		});
 		this.#peerServer.serve(router => {
@@ -128,7 +134,7 @@
 		const {host, adminPort} = this.settings;
 		this.#admin = createAdminServer({
 			registry: this.#parts.metrics.registry,
-			isReady: () => this.#ready,
+			isReady: () => this.#isReady(),
 			describeStatus: () => this.#describeStatus(),
 		});
 		this.#admin.listen(adminPort, host);
@@ -136,6 +142,21 @@
 		return `${host}:${(this.#admin.address() as AddressInfo).port}`;
 	}
 
+	/** Ready once prepared, while the document is in force and fresh enough for what it demands itself. */
+	#isReady(): boolean {
+		return this.#ready && !this.#parts.inForce.status().makesUnready;
+	}
+
+	#followConfirmation(): void {
+		const {inForce, dissemination} = this.#parts;
+		this.#timers.every(confirmationIntervalMs, () => {
+			const agoMs = dissemination.confirmedAgoMs();
+			if (agoMs !== undefined) {
+				inForce.confirm(inForce.version, this.#timers.nowMs() - agoMs);
+			}
+		});
+	}
+
 	async #prepareDatabases(): Promise<void> {
 		await this.#timers.sleep(settleMs * (1 + Math.random()));
 		await Promise.all(this.settings.databases.map(async database => {
@@ -149,10 +170,11 @@
 	}
 
 	#describeStatus() {
-		const {membership, owners} = this.#parts;
+		const {membership, owners, inForce, dissemination} = this.#parts;
 		return {
 			self: membership.self(),
-			ready: this.#ready,
+			ready: this.#isReady(),
+			document: {...inForce.status(), watchesPlatform: dissemination.isWatcher()},
 			inFlight: this.#inFlight.count,
 			members: membership.members(),
 			databases: owners.all().map(owner => owner.describe()),
--- a/packages/proxy/src/daemon/proxy-parts.ts
+++ b/packages/proxy/src/daemon/proxy-parts.ts
@@ -1,19 +1,19 @@
 import {randomUUID} from 'node:crypto';
 import {
-	type Admission, type AdmissionLimits, AssignOwners, FairAdmission, FifoAdmission, GossipMembership, PromotePrimary, RetryBudget,
+	type Admission, type AdmissionLimits, AssignOwners, DocumentDissemination, DocumentInForce, FairAdmission, FifoAdmission, GossipMembership, InForceReceiver, PromotePrimary, RetryBudget,
 	SessionTokenCodec, type SystemTimerService,
 } from '@dogwoodthread/coordination';
 import {type Logger} from 'pino';
 import {ProxyMetrics} from '../admin/index.js';
 import {RequestRouter} from '../caller/index.js';
 import {DatabaseDirectory, HolderCheck, OwnershipKeeper} from '../directory/index.js';
+import {DocumentPolicy, PeerDocumentSource} from '../document/index.js';
 import {ConnectEndpointConnector} from '../endpoint/index.js';
 import {type UdpDatagramTransport} from '../gossip/index.js';
 import {OwnerRegistry} from '../owner/index.js';
 import {PeerClients} from '../peer/index.js';
 import {HttpPlatform} from '../platform/index.js';
 import {type ProxySettings} from '../settings/index.js';
-import {defaultPolicy} from './default-policy.js';
 import {HostList} from './host-list.js';
 import {PeerWitness} from './peer-witness.js';
 
@@ -68,6 +68,18 @@
 	const hostList = new HostList({
 		platform, membership, timers, random, logger: labelled('host-list'),
 	});
+	const inForce = new DocumentInForce({timers});
+	const dissemination = new DocumentDissemination({
+		platform,
+		membership,
+		peers: new PeerDocumentSource(peers, inForce),
+		inForce: new InForceReceiver(inForce, ({kind, message}) => {
+			labelled('document').error({event: 'document-refused', kind, message});
+		}),
+		timers,
+		random,
+		logger: labelled('document'),
+	});
 	const createAdmission = (limits: AdmissionLimits): Admission => settings.policy === 'fifo'
 		? new FifoAdmission({timers, limits, random})
 		: new FairAdmission({timers, limits, random});
@@ -83,7 +95,7 @@
 		}),
 		witness: new PeerWitness({membership, peers, random}),
 		createAdmission,
-		policyOf: () => defaultPolicy(settings),
+		policyOf: database => new DocumentPolicy(database, inForce, settings),
 		isUnresponsive: hostId => holderCheck.isUnresponsive(hostId),
 		isListedAsLeaving: memberId => hostList.isLeaving(memberId),
 		random,
@@ -97,8 +109,13 @@
 	directory.onEntry((database, entry) => {
 		owners.apply(database, entry);
 	});
+	inForce.onChange(next => {
+		labelled('document').info({event: 'document-in-force', version: next.version});
+		owners.applyPolicies();
+	});
 	metrics.observeOwners(owners);
 	return {
 		metrics, tokens, platform, peers, connector, membership, directory, holderCheck, hostList, owners, keeper, router,
+		inForce, dissemination,
 	};
 }
--- /dev/null
+++ b/packages/proxy/src/document/core/document-policy.ts
@@ -0,0 +1,66 @@
+import {
+	type AdmissionLimits, type DocumentInForce, type GoverningDocument, type WorkClass,
+} from '@dogwoodthread/coordination';
+import {type DatabasePolicy} from '../../owner/index.js';
+import {type ProxySettings} from '../../settings/index.js';
+
+/** Limits of a database that the document does not name: those of the smaller of today's instances. */
+const defaultConnectionCap = 30;
+const defaultAdmission: AdmissionLimits = {slots: 2, longSlots: 1, queueLength: 80};
+
+/** Policy of one database as the document in force says it at the moment of each question. */
+export class DocumentPolicy implements DatabasePolicy {
+	constructor(private readonly database: string, private readonly inForce: DocumentInForce, private readonly settings: ProxySettings) {}
+
+	get connectionCap(): number {
+		return this.#limits?.connections ?? defaultConnectionCap;
+	}
+
+	get admission(): AdmissionLimits {
+		return this.#limits ?? defaultAdmission;
+	}
+
+	get detectionMs(): number {
+		return this.#document?.operations.detectionMs ?? this.settings.detectionMs;
+	}
+
+	get unconfirmedBoundMs(): number {
+		return this.#document?.operations.unconfirmedBoundMs ?? this.settings.unconfirmedBoundMs;
+	}
+
+	get connectTimeoutMs(): number {
+		return this.settings.connectTimeoutMs;
+	}
+
+	get progressTimeoutMs(): number {
+		return this.settings.progressTimeoutMs;
+	}
+
+	get transactionTimeoutMs(): number {
+		return this.settings.transactionTimeoutMs;
+	}
+
+	get transactionIdleMs(): number {
+		return this.settings.transactionIdleMs;
+	}
+
+	workClassOf(statementName: string): WorkClass | undefined {
+		return this.#statement(statementName)?.workClass;
+	}
+
+	maxAgeMsOf(statementName: string): number | undefined {
+		return this.#statement(statementName)?.maxAgeMs;
+	}
+
+	get #document(): GoverningDocument | undefined {
+		return this.inForce.current?.document;
+	}
+
+	get #limits(): GoverningDocument['databases'][string] | undefined {
+		return this.#document?.databases[this.database];
+	}
+
+	#statement(name: string): GoverningDocument['applications']['statements'][string] | undefined {
+		return this.#document?.applications.statements[name];
+	}
+}
--- a/packages/proxy/src/owner/core/connection-pool.ts
+++ b/packages/proxy/src/owner/core/connection-pool.ts
@@ -25,13 +25,27 @@
 export class ConnectionPool {
 	readonly #idle: PooledConnection[] = [];
 	readonly #freeIndexes: number[];
+	#size: number;
 	#waiters: Waiter[] = [];
 	#opening = 0;
 	#closed = false;
 
 	constructor(private readonly options: PoolOptions, private readonly member: GroupMember) {
-		const size = sessionsPerSeat(options.policy.connectionCap);
-		this.#freeIndexes = Array.from({length: size}, (_, index) => size - 1 - index);
+		this.#size = sessionsPerSeat(options.policy.connectionCap);
+		this.#freeIndexes = Array.from({length: this.#size}, (_, index) => this.#size - 1 - index);
+	}
+
+	/** Follows a new connection cap; connections over a lower one are closed as they become free. */
+	resize(): void {
+		const size = sessionsPerSeat(this.options.policy.connectionCap);
+		const added = Array.from({length: Math.max(0, size - this.#size)}, (_, index) => this.#size + index);
+		this.#size = size;
+		this.#freeIndexes.splice(0, this.#freeIndexes.length, ...this.#freeIndexes.filter(index => index < size), ...added);
+		for (const lease of this.#idle.splice(0)) {
+			this.release(lease);
+		}
+
+		this.#openMore();
 	}
 
 	/** Gives an idle connection, a new one, or the next one that is released before `timeoutMs`. */
@@ -62,7 +76,7 @@
 
 	/** Takes a connection back. It must not have a transaction open. */
 	release(lease: PooledConnection): void {
-		if (!lease.connection.usable || this.#closed) {
+		if (!lease.connection.usable || this.#closed || lease.index >= this.#size) {
 			this.discard(lease);
 			return;
 		}
@@ -87,7 +101,7 @@
 	/** Closes a connection whose state is not known to be clean. */
 	discard({index, connection}: PooledConnection): void {
 		connection.close();
-		this.#freeIndexes.push(index);
+		this.#free(index);
 		this.#openMore();
 	}
 
@@ -116,12 +130,18 @@
 				return lease;
 			}
 
-			this.#freeIndexes.push(lease.index);
+			this.#free(lease.index);
 		}
 
 		return undefined;
 	}
 
+	#free(index: number): void {
+		if (index < this.#size) {
+			this.#freeIndexes.push(index);
+		}
+	}
+
 	#openMore(): void {
 		while (!this.#closed && this.#opening < Math.min(maxConcurrentOpens, this.#waiters.length) && this.#freeIndexes.length > 0) {
 			void this.#open(this.#freeIndexes.pop()!);
@@ -138,7 +158,7 @@
 			return;
 		}
 
-		this.#freeIndexes.push(index);
+		this.#free(index);
 		// Those who wait would wait for the same failure; they get their answer now.
 		this.#failWaiters(opened.error);
 	}
--- a/packages/proxy/src/owner/core/group-state.ts
+++ b/packages/proxy/src/owner/core/group-state.ts
@@ -63,6 +63,14 @@
 		}
 	}
 
+	/** Follows limits that have changed in the policy. */
+	applyPolicy(): void {
+		for (const {pool, admission} of this.instances.values()) {
+			admission.setLimits(this.options.policy.admission);
+			pool.resize();
+		}
+	}
+
 	/** Upper bound of the age of an instance's data, in ms; undefined if unknown. */
 	ageBoundMs({verifiedTerm, applied}: MemberStatus): number | undefined {
 		return this.samples.ageBoundMs(verifiedTerm, applied.index, this.options.timers.nowMs());
--- a/packages/proxy/src/owner/core/owner-registry.ts
+++ b/packages/proxy/src/owner/core/owner-registry.ts
@@ -62,6 +62,13 @@
 		owner.start();
 	}
 
+	/** Follows limits that have changed in the governing document. */
+	applyPolicies(): void {
+		for (const owner of this.all()) {
+			owner.state.applyPolicy();
+		}
+	}
+
 	close(): void {
 		this.#closed = true;
 		for (const owner of this.all()) {
--- a/packages/proxy/src/owner/core/read-execution.ts
+++ b/packages/proxy/src/owner/core/read-execution.ts
@@ -1,4 +1,4 @@
-import {comparePositions, type MemberStatus} from '@dogwoodthread/coordination';
+import {type MemberStatus, ReplicaSelector} from '@dogwoodthread/coordination';
 import {type ExecuteResponse} from '@dogwoodthread/protocol';
 import {type Completion} from '../../endpoint/index.js';
 import {
@@ -8,6 +8,7 @@
 import {type AnswerRelease} from './answer-release.js';
 import {answerTimeoutMs, type ExecutionContext, remainingMs} from './execution-context.js';
 import {type GroupState, type Instance} from './group-state.js';
+import {LatencyEstimate} from './latency-estimate.js';
 import {lostCode, refusedByEndpoint} from './write-execution.js';
 
 /** A read may be tried again: it changes nothing. */
@@ -24,7 +25,13 @@
 
 /** Runs reads at an eligible replica, or at the primary. */
 export class ReadExecution {
-	constructor(private readonly options: OwnerOptions, private readonly state: GroupState, private readonly release: AnswerRelease) {}
+	readonly #selector: ReplicaSelector;
+	readonly #latencies = new Map<string, LatencyEstimate>();
+
+	constructor(private readonly options: OwnerOptions, private readonly state: GroupState, private readonly release: AnswerRelease) {
+		const {timers, random, failureDomain} = options;
+		this.#selector = new ReplicaSelector({timers, random, failureDomain});
+	}
 
 	async execute(context: ExecutionContext): Promise<ExecuteResponse> {
 		const tried = new Set<string>();
@@ -69,11 +76,22 @@
 	}
 
 	#chooseReplica(context: ExecutionContext, tried: ReadonlySet<string>): Instance | undefined {
-		const eligible = this.#replicas(tried).filter(({monitor}) => this.#isEligible(monitor.health.status!, context));
-		return eligible
-			.map(instance => ({instance, load: instance.admission.queued + instance.admission.running + this.options.random()}))
-			.sort((a, b) => a.load - b.load)
-			.at(0)?.instance;
+		const candidates = this.#replicas(tried).map(({member, monitor, admission}) => ({
+			memberId: member.memberId,
+			failureDomain: member.failureDomain,
+			eligible: this.#isEligible(monitor.health.status!, context),
+			ageBoundMs: this.state.ageBoundMs(monitor.health.status!) ?? Number.POSITIVE_INFINITY,
+			inFlight: admission.queued + admission.running,
+			latencyMs: this.#latency(member.memberId).valueMs,
+		}));
+		const choice = this.#selector.select(candidates, context.maxAgeMs);
+		return choice && this.state.instances.get(choice.memberId);
+	}
+
+	#latency(memberId: string): LatencyEstimate {
+		const known = this.#latencies.get(memberId) ?? new LatencyEstimate();
+		this.#latencies.set(memberId, known);
+		return known;
 	}
 
 	#replicas(tried: ReadonlySet<string>): Instance[] {
@@ -84,17 +102,15 @@
 			&& !tried.has(instance.member.memberId));
 	}
 
-	#isEligible(status: MemberStatus, {token, maxAgeMs}: ExecutionContext): boolean {
+	#isEligible(status: MemberStatus, {token}: ExecutionContext): boolean {
 		const {tracker} = this.state;
 		if (status.verifiedTerm !== tracker.term || (token && token.term > tracker.term)) {
 			return false;
 		}
 
-		if (token && comparePositions(status.applied, {term: Math.min(token.term, status.applied.term), index: token.index}) < 0) {
-			return false;
-		}
-
-		return maxAgeMs === undefined || (this.state.ageBoundMs(status) ?? Number.POSITIVE_INFINITY) <= maxAgeMs;
+		// A log that is verified against the current term holds all that was confirmed in earlier terms, so
+		// the index alone tells whether it has what the token stands for.
+		return !token || status.applied.index >= token.index;
 	}
 
 	#isReplicaClose(tried: ReadonlySet<string>): boolean {
@@ -125,9 +141,11 @@
 			return {kind: 'retry', response: notRun('no-connection', lease.error.message, briefRetryAfterMs)};
 		}
 
+		const sentAtMs = this.options.timers.nowMs();
 		const reply = await lease.value.connection.execute({
 			term: 0, statement: context.request.statement!, access: 'read',
 		}, timeoutMs);
+		this.#latency(instance.member.memberId).add(this.options.timers.nowMs() - sentAtMs);
 		instance.pool.giveBack(lease.value, reply);
 		permit.release(reply.kind === 'completed' ? 'completed' : (reply.kind === 'lost' ? 'timeout' : 'failed'));
 		switch (reply.kind) {
--- a/packages/proxy/src/peer/core/peer-clients.ts
+++ b/packages/proxy/src/peer/core/peer-clients.ts
@@ -10,6 +10,9 @@
 import {ForwardLink} from './forward-link.js';
 import {fromOwnershipMessage, toOwnershipMessage} from './ownership-messages.js';
 
+/** A document takes up to a megabyte, so its transfer gets more time than a question. */
+const documentTimeoutMs = 2000;
+
 type Peer = {
 	client: Client<typeof PeerService>;
 	sessionManager: Http2SessionManager;
@@ -67,9 +70,11 @@
 		});
 	}
 
-	/** For calls that have no method of their own here. */
-	clientOf(peerAddress: string): Client<typeof PeerService> {
-		return this.#peer(peerAddress).client;
+	async getDocument(peerAddress: string, knownVersion: number): Promise<{version: number; content: string | undefined} | undefined> {
+		return this.#query(peerAddress, async client => {
+			const {version, content} = await client.getDocument({knownVersion: BigInt(knownVersion)}, {timeoutMs: documentTimeoutMs});
+			return {version: Number(version), content};
+		});
 	}
 
 	close(): void {
--- a/packages/proxy/src/peer/core/peer-service.ts
+++ b/packages/proxy/src/peer/core/peer-service.ts
@@ -1,5 +1,5 @@
 import {type ConnectRouter} from '@connectrpc/connect';
-import {type MembershipView, type TimerService} from '@dogwoodthread/coordination';
+import {type DocumentInForce, type MembershipView, type TimerService} from '@dogwoodthread/coordination';
 import {
 	type ForwardRequest, type ForwardResponse, type ObserveEndpointRequest, PeerService, type TransactRequest, type TransactResponse,
 } from '@dogwoodthread/protocol';
@@ -17,7 +17,7 @@
 	membership: MembershipView;
 	connector: EndpointConnector;
 	timers: TimerService;
-	document: {version: number; content: string | undefined};
+	document: Pick<DocumentInForce, 'version' | 'contentFor'>;
 	/** Counts a request in flight for the graceful shutdown. */
 	track: <T>(work: Promise<T>) => Promise<T>;
 };
@@ -36,7 +36,7 @@
 			observeEndpoint: async question => this.#observe(question),
 			getDocument: ({knownVersion}) => ({
 				version: BigInt(document.version),
-				content: document.version > Number(knownVersion) ? document.content : undefined,
+				content: document.contentFor(Number(knownVersion)),
 			}),
 			getOwnership({database}) {
 				const entry = directory.entry(database);
--- a/packages/proxy/src/peer/definitions.ts
+++ b/packages/proxy/src/peer/definitions.ts
@@ -31,5 +31,6 @@
 export type PeerQueries = {
 	getOwnership(peerAddress: string, database: string): Promise<PeerOwnership | undefined>;
 	announceOwnership(peerAddress: string, ownership: VersionedOwnership, group: GroupRecord | undefined): Promise<void>;
+	getDocument(peerAddress: string, knownVersion: number): Promise<{version: number; content: string | undefined} | undefined>;
 	observeEndpoint(peerAddress: string, question: {database: string; memberId: string; address: string; timeoutMs: number}): Promise<boolean | undefined>;
 };
