Count steps that have no answer yet

Cause: with first-in-first-out admission short work stuck behind long runs was left out of the figures. Change: steps are recorded when they are due; pending ones count with their age.

--- a/packages/load/src/scenario/definitions.ts
+++ b/packages/load/src/scenario/definitions.ts
@@ -27,7 +27,7 @@
 	/** Adds a figure to the result. */
 	report(name: string, value: unknown): void;
 	history(): readonly HistoryEntry[];
-	/** Steps of the load that have ended. */
+	/** Steps of the load that have started. */
 	steps(): readonly StepRecord[];
 	setRate(ratePerSecond: number): void;
 	/** A further session, recorded in the same history. */
--- a/packages/load/src/workload/core/workload.ts
+++ b/packages/load/src/workload/core/workload.ts
@@ -49,8 +49,10 @@
 		this.#ratePerSecond = ratePerSecond;
 	}
 
-	steps(): readonly StepRecord[] {
-		return this.#steps;
+	/** Steps that have started, in the order in which they were due. */
+	steps(): StepRecord[] {
+		const nowMs = this.#options.timers.nowMs();
+		return this.#steps.map(step => step.outcome === 'pending' ? {...step, endMs: nowMs} : step);
 	}
 
 	start(): void {
@@ -111,17 +113,19 @@
 
 	async #runStep(member: Member, dueMs: number): Promise<void> {
 		const step = member.plan.next();
+		const record: StepRecord = {
+			statement: step.statement, access: step.access, dueMs, endMs: dueMs, outcome: 'pending',
+		};
+		this.#steps.push(record);
 		const answer = await member.session.perform(step);
-		const endMs = this.#options.timers.nowMs();
+		record.endMs = this.#options.timers.nowMs();
+		record.outcome = answer?.outcome ?? 'abandoned';
 		member.isIdle = true;
-		this.#steps.push({
-			statement: step.statement, access: step.access, dueMs, endMs, outcome: answer?.outcome ?? 'abandoned',
-		});
 		if (!answer) {
 			return;
 		}
 
-		this.#latency[step.access].record(endMs - dueMs);
+		this.#latency[step.access].record(record.endMs - dueMs);
 		if (answer.outcome === 'done' && answer.statementError === undefined) {
 			member.plan.acknowledge(step);
 		}
--- a/packages/load/src/workload/definitions.ts
+++ b/packages/load/src/workload/definitions.ts
@@ -62,9 +62,14 @@
 	access: 'read' | 'write';
 	/** When the step was due, whether or not it could start then. */
 	dueMs: number;
+	/** For a pending step the time at which the record was read. */
 	endMs: number;
-	/** `abandoned`: no final answer in time. `dropped`: not started, because all sessions were busy. */
-	outcome: 'done' | 'not-run' | 'unknown' | 'abandoned' | 'dropped';
+	/**
+	 * - `pending`: has no final answer yet.
+	 * - `abandoned`: had no final answer in time.
+	 * - `dropped`: not started, because all sessions were busy.
+	 */
+	outcome: 'pending' | 'done' | 'not-run' | 'unknown' | 'abandoned' | 'dropped';
 };
 
 export type LatencySummary = {count: number; p50Ms: number; p99Ms: number; maxMs: number};
