Wait for further fence replies when one does not count

Cause: since a member with an empty log does not count towards the majority of a promotion, but its reply still ended the wait. When it was among the first two of three to answer, the promotion failed with no-majority although two other members were live, and failed again on each retry as long as the empty member answered quickly. Change: the wait ends when a majority of counting replies is in, when a reply shows a later term, or when all calls have ended. Conclusion: one member that lost its log delays no promotion for which a majority is live.

--- a/packages/coordination/src/group/core/promote-primary.ts
+++ b/packages/coordination/src/group/core/promote-primary.ts
@@ -95,17 +95,23 @@
 
 	async #fenceMajority(record: GroupRecord): Promise<Result<Fenced[], PromotionError>> {
 		const majority = majorityOf(record.members.length);
-		const replies = await collect(record.members.map(async member => {
-			const reply = await this.options.control.fence(record.database, member, record.term);
-			return reply.map(value => ({member, reply: value}));
-		}), majority);
-		const superseding = replies.find(({reply}) => reply.fencedTerm > record.term);
+		const isLater = ({reply}: Fenced) => reply.fencedTerm > record.term;
+		// A member with an empty log may have lost what it had confirmed, so it cannot vouch for the rest.
+		const vouches = ({reply}: Fenced) => reply.accepted && reply.last.index > 0;
+		const replies = await collect(
+			record.members.map(async member => {
+				const reply = await this.options.control.fence(record.database, member, record.term);
+				return reply.map(value => ({member, reply: value}));
+			}),
+			// Replies that do not count must not end the wait: the quickest member may be one that lost its log.
+			soFar => soFar.some(fenced => isLater(fenced)) || soFar.filter(fenced => vouches(fenced)).length >= majority,
+		);
+		const superseding = replies.find(fenced => isLater(fenced));
 		if (superseding) {
 			return failure('superseded', `Member ${superseding.member.memberId} is fenced at term ${superseding.reply.fencedTerm}; a later promotion is under way.`);
 		}
 
-		// A member with an empty log may have lost what it had confirmed, so it cannot vouch for the rest.
-		const accepted = replies.filter(({reply}) => reply.accepted && reply.last.index > 0);
+		const accepted = replies.filter(fenced => vouches(fenced));
 		return accepted.length >= majority
 			? ok(accepted)
 			: failure('no-majority', `Only ${accepted.length} of ${record.members.length} members of ${record.database} could be fenced; restore ${majority - accepted.length} more.`);
@@ -122,9 +128,11 @@
 			return failure('target-refused', `Member ${primary.memberId} did not become primary of term ${record.term}; the promotion is tried again with the next term.`);
 		}
 
-		await collect(record.members
-			.filter(({memberId}) => memberId !== primary.memberId)
-			.map(async member => control.follow(record.database, member, record.term, primary)), majorityOf(record.members.length) - 1);
+		const followers = record.members.filter(({memberId}) => memberId !== primary.memberId);
+		await collect(
+			followers.map(async member => control.follow(record.database, member, record.term, primary)),
+			soFar => soFar.length >= majorityOf(record.members.length) - 1,
+		);
 		// The record only informs from here on; the primary of the term is fixed and serves.
 		await this.#write(version, {...record, phase: 'established'});
 		return ok();
@@ -183,8 +191,8 @@
 	return candidates.find(({memberId}) => !avoid.includes(memberId)) ?? candidates[0]!;
 }
 
-/** Resolves with the successful results so far when `enough` are in, or all calls have ended. */
-async function collect<T>(calls: Array<Promise<Result<T, unknown>>>, enough: number): Promise<T[]> {
+/** Resolves with the successful results so far when they are enough, or all calls have ended. */
+async function collect<T>(calls: Array<Promise<Result<T, unknown>>>, isEnough: (soFar: readonly T[]) => boolean): Promise<T[]> {
 	const results: T[] = [];
 	return new Promise(resolve => {
 		let pending = calls.length;
@@ -195,7 +203,7 @@
 				results.push(result.value);
 			}
 
-			if (results.length >= enough || pending === 0) {
+			if (isEnough(results) || pending === 0) {
 				resolve([...results]);
 			}
 		};
