Refuse to promote an instance that lost its log

Cause: an instance that restarted empty between Fence and Promote lost its fence, too, and accepted Promote(T+1). It became primary with an empty log, and Follow made the others drop acknowledged entries to match it: P2 broken by the restart of one member. Change: Promote is refused by an instance whose log is empty, in every term after the first. Conclusion: the empty log is covered. An instance that lost its log and was refilled in part still counts as a full member; the instances would have to report it.

--- a/packages/standin/src/endpoint/core/group-member.ts
+++ b/packages/standin/src/endpoint/core/group-member.ts
@@ -107,13 +107,15 @@
 		return true;
 	}
 
-	/** Makes the instance the primary of a term and writes the term-start entry; refuses lower and taken terms. */
+	/** Makes the instance the primary of a term and writes the term-start entry; refuses lower and taken terms, and after a loss of the log. */
 	promote(term: number): boolean {
 		if (this.#role === 'primary' && term === this.#fencedTerm) {
 			return true;
 		}
 
-		if (term < this.#fencedTerm || term <= this.log.last.term || this.#following?.term === term) {
+		// A log that is empty after the first term was lost in a restart; replicas would drop acknowledged entries to match it.
+		const lostLog = term > 1 && this.log.last.index === 0;
+		if (term < this.#fencedTerm || term <= this.log.last.term || this.#following?.term === term || lostLog) {
 			return false;
 		}
 
--- a/packages/standin/test/endpoint/terms.test.ts
+++ b/packages/standin/test/endpoint/terms.test.ts
@@ -67,6 +67,13 @@
 	t.strictSame(answers.map(({accepted}) => accepted), [true, false, false, false, true, true, false]);
 });
 
+// Guards against a candidate that loses its log after it was chosen and makes the others drop theirs (P2).
+test('an instance without a log becomes primary of the first term only', async t => {
+	const [m0, m1] = await startGroup(t, 2, {replicationDelayMs: 60_000});
+	const answers = [await m1!.promote(2), await m0!.promote(2)];
+	t.strictSame(answers.map(({accepted}) => accepted), [false, true]);
+});
+
 // Guards against unacknowledged entries of an old primary that survive next to those of the new one (P2).
 test('a former primary drops the entries that the new one does not have', async t => {
 	const [m0, m1, m2] = await startGroup(t, 3);
