Do not promote a primary that is cut off from its group again

Cause: with evidence 'isolated' the primary is reachable for the proxies, so it answered the fence, had the longest log because of its unconfirmed entries, and was chosen again whenever its reply was among the first majority. The promotion was repeated every detection interval and the write gap had no end.

Change: a promotion on evidence 'isolated' fences the old primary but neither counts nor chooses it; the majority comes from the members that lost contact with it.

Before: packages/proxy/test/owner/reads.test.ts, 'an entry that was never confirmed is not read after a promotion', failed in 5 of 5 runs; the log showed m0 promoted in terms 2 and 3 and refused in term 4. After: passes.

--- a/packages/coordination/src/group/core/promote-primary.ts
+++ b/packages/coordination/src/group/core/promote-primary.ts
@@ -27,6 +27,11 @@
 	observedTerm: number;
 	/** Members to choose last among equally advanced ones, e.g. those that are leaving. */
 	avoid: readonly string[];
+	/**
+	 * Members to fence without choosing them or counting them towards the majority: a primary that is cut off
+	 * from its group but not from the promoter has the longest log and would be chosen again.
+	 */
+	exclude: readonly string[];
 };
 
 type Versioned = {record: GroupRecord; version: number};
@@ -50,7 +55,7 @@
 		}
 
 		const agreedMs = timers.nowMs();
-		const fenced = await this.#fenceMajority(claimed.value.record);
+		const fenced = await this.#fenceMajority(claimed.value.record, request.exclude);
 		if (fenced.isErr()) {
 			return err(fenced.error);
 		}
@@ -93,12 +98,13 @@
 		});
 	}
 
-	async #fenceMajority(record: GroupRecord): Promise<Result<Fenced[], PromotionError>> {
+	async #fenceMajority(record: GroupRecord, exclude: readonly string[]): Promise<Result<Fenced[], PromotionError>> {
 		const majority = majorityOf(record.members.length);
-		const replies = await collect(record.members.map(async member => {
+		const fences = record.members.map(async member => {
 			const reply = await this.options.control.fence(record.database, member, record.term);
 			return reply.map(value => ({member, reply: value}));
-		}), majority);
+		});
+		const replies = await collect(fences.filter((_, index) => !exclude.includes(record.members[index]!.memberId)), majority);
 		const superseding = replies.find(({reply}) => reply.fencedTerm > record.term);
 		if (superseding) {
 			return failure('superseded', `Member ${superseding.member.memberId} is fenced at term ${superseding.reply.fencedTerm}; a later promotion is under way.`);
--- a/packages/proxy/src/owner/core/promotion-driver.ts
+++ b/packages/proxy/src/owner/core/promotion-driver.ts
@@ -55,7 +55,7 @@
 		try {
 			const evidence = this.#evaluate();
 			if (evidence !== 'none') {
-				await this.#promote(evidence, this.state.primaryLostSinceMs ?? timers.nowMs() - this.options.policy.detectionMs, []);
+				await this.#promote(evidence, this.state.primaryLostSinceMs ?? timers.nowMs() - this.options.policy.detectionMs);
 			} else if (this.state.primary && this.state.isLeaving(this.state.primary)) {
 				await this.#replaceLeaving(this.state.primary);
 			}
@@ -115,7 +115,7 @@
 		this.#asking = false;
 	}
 
-	async #promote(evidence: string, lostSinceMs: number, avoid: string[]): Promise<void> {
+	async #promote(evidence: FailureEvidence | 'no-primary' | 'leaving', lostSinceMs: number): Promise<void> {
 		const {database, promotePrimary, timers, logger, events} = this.options;
 		const replaces = this.state.lastPrimary?.member.memberId ?? '';
 		const startMs = timers.nowMs();
@@ -123,7 +123,11 @@
 			event: 'promotion-started', evidence, replaces, term: this.state.tracker.term,
 		});
 		const result = await promotePrimary.run({
-			database, replaces, observedTerm: this.state.tracker.term, avoid,
+			database,
+			replaces,
+			observedTerm: this.state.tracker.term,
+			avoid: evidence === 'leaving' ? [replaces] : [],
+			exclude: evidence === 'isolated' ? [replaces] : [],
 		});
 		if (result.isErr()) {
 			this.#notBeforeMs = timers.nowMs() + (retryDelayMs * (1 + this.options.random()));
@@ -148,7 +152,7 @@
 		}
 
 		if (this.#hasCaughtUpReplica(primary)) {
-			await this.#promote('leaving', timers.nowMs(), [primary.member.memberId]);
+			await this.#promote('leaving', timers.nowMs());
 		} else {
 			this.#notBeforeMs = timers.nowMs() + policy.detectionMs;
 		}
