Answer a read that may have run as unknown when a retry is refused

Cause: ReadExecution and RequestRouter returned the outcome of the last attempt.

Change: afterRetry keeps the earlier unknown outcome over a later 'not run'.

--- a/packages/proxy/src/caller/core/request-router.ts
+++ b/packages/proxy/src/caller/core/request-router.ts
@@ -4,7 +4,9 @@
 	Access, type ExecuteRequest, ExecuteRequestSchema, type ExecuteResponse, type TransactRequest, type TransactResponse,
 } from '@dogwoodthread/protocol';
 import {type ActingOwner, type DatabaseDirectory} from '../../directory/index.js';
-import {briefRetryAfterMs, notRun, unknown} from '../../outcome/index.js';
+import {
+	afterRetry, briefRetryAfterMs, notRun, unknown,
+} from '../../outcome/index.js';
 import {type OwnerRegistry} from '../../owner/index.js';
 import {type ForwardResult, type PeerLinks} from '../../peer/index.js';
 
@@ -41,24 +43,22 @@
 
 			const owner = await directory.findActing(request.database);
 			if (owner.isErr()) {
-				return notRun(owner.error.kind, owner.error.message, owner.error.kind === 'unknown-database' ? 0 : briefRetryAfterMs * (1 + random()));
+				return afterRetry(last, notRun(owner.error.kind, owner.error.message, owner.error.kind === 'unknown-database' ? 0 : briefRetryAfterMs * (1 + random())));
 			}
 
 			const result = await this.#send(owner.value, create(ExecuteRequestSchema, {...request, timeoutMs: leftMs}));
 			if (result.kind === 'answered') {
 				this.#earnRetries(request, result.response);
-				return result.response;
+				return afterRetry(last, result.response);
 			}
 
 			if (result.kind === 'lost' && request.access === Access.WRITE) {
 				return unknown('owner-lost', request.requestKey);
 			}
 
-			if (result.kind === 'lost') {
-				last = unknown('owner-lost', undefined, 'read');
-			} else if (last.outcome.case === 'notRun') {
-				last = notRun(result.kind === 'not-sent' ? 'owner-unreachable' : 'no-acting-owner', 'The request did not run.', briefRetryAfterMs * (1 + random()));
-			}
+			last = result.kind === 'lost'
+				? unknown('owner-lost', undefined, 'read')
+				: afterRetry(last, notRun(result.kind === 'not-sent' ? 'owner-unreachable' : 'no-acting-owner', 'The request did not run.', briefRetryAfterMs * (1 + random())));
 
 			await this.#redirect(request.database, owner.value);
 		}
--- a/packages/proxy/src/outcome/index.ts
+++ b/packages/proxy/src/outcome/index.ts
@@ -3,5 +3,5 @@
 	isNotRunCode, notRunCatalogue, unknownCatalogue, type NotRunCode, type UnknownCode,
 } from './catalogue.js';
 export {
-	briefRetryAfterMs, done, notRun, unknown,
+	afterRetry, briefRetryAfterMs, done, notRun, unknown,
 } from './outcomes.js';
--- a/packages/proxy/src/outcome/outcomes.ts
+++ b/packages/proxy/src/outcome/outcomes.ts
@@ -45,3 +45,7 @@
 
 export const done = (value: Omit<Done, '$typeName'>): ExecuteResponse =>
 	create(ExecuteResponseSchema, {outcome: {case: 'done', value: {...value, $typeName: 'dogwoodthread.v1.Done'}}});
+
+/** Outcome of a read after another attempt: what may have run once is not "not run" because the next attempt was refused. */
+export const afterRetry = (earlier: ExecuteResponse, later: ExecuteResponse): ExecuteResponse =>
+	earlier.outcome.case === 'unknown' && later.outcome.case === 'notRun' ? earlier : later;
--- a/packages/proxy/src/owner/core/read-execution.ts
+++ b/packages/proxy/src/owner/core/read-execution.ts
@@ -2,7 +2,7 @@
 import {type ExecuteResponse} from '@dogwoodthread/protocol';
 import {type Completion} from '../../endpoint/index.js';
 import {
-	briefRetryAfterMs, isNotRunCode, notRun, unknown,
+	afterRetry, briefRetryAfterMs, isNotRunCode, notRun, unknown,
 } from '../../outcome/index.js';
 import {type OwnerOptions} from '../definitions.js';
 import {type AnswerRelease} from './answer-release.js';
@@ -36,12 +36,12 @@
 			}
 
 			const result = await this.#attempt(context, instance);
+			last = afterRetry(last, result.response);
 			if (result.kind === 'final') {
-				return result.response;
+				return last;
 			}
 
 			tried.add(instance.member.memberId);
-			last = result.response;
 		}
 
 		return last;
