Test reads, writes and routing of the proxy under failure

Fixture: three in-process endpoints with real owners (fixtures/group.ts), or fake members on manual time (fixtures/fake-group.ts).

--- /dev/null
+++ b/packages/proxy/test/owner/writes.test.ts
@@ -0,0 +1,179 @@
+import {type ExecuteRequest} from '@dogwoodthread/protocol';
+import {test} from 'tap';
+import {completed, FakeGroup} from '../fixtures/fake-group.js';
+import {type OwnerOverrides, seatOf, TestGroup} from '../fixtures/group.js';
+import {
+	hold, type Outcome, pay, toOutcome, until,
+} from '../fixtures/requests.js';
+
+type Owner = Awaited<ReturnType<TestGroup['own']>>;
+
+const run = async (owner: Owner, group: TestGroup, request: ExecuteRequest) => toOutcome(await owner.execute(request, group.timers.nowMs() + request.timeoutMs));
+
+// Guards against an acknowledgement by the primary alone, which a failover would lose (P2).
+test('a primary that is cut off from its group acknowledges nothing', async t => {
+	const group = await TestGroup.start(t);
+	const owner = await group.own({policy: {unconfirmedBoundMs: 300}});
+	await group.faults(0, {cutFromGroup: true});
+	const startMs = group.timers.nowMs();
+	const outcomes = await Promise.all(['a', 'b'].map(async id => run(owner, group, hold(id, {timeoutMs: 900, key: id}))));
+	t.match(outcomes, [{kind: 'unknown', code: 'confirmation-timeout'}, {kind: 'unknown', code: 'confirmation-timeout'}]);
+	t.ok(group.timers.nowMs() - startMs >= 900, 'not before the deadline');
+	t.same(await group.logged(1), [], 'no replica has them');
+
+	// Replication behind: new writes are refused at once, and do not run (P5).
+	const waiting = run(owner, group, hold('c', {timeoutMs: 3000}));
+	await until(async () => {
+		const probe = await run(owner, group, hold('probe', {timeoutMs: 1}));
+		return probe.code === 'replication-behind';
+	});
+	const refused = await run(owner, group, hold('d'));
+	t.match(refused, {kind: 'notRun', code: 'replication-behind'});
+	t.ok(refused.retryAfterMs > 0);
+	t.equal(await group.runs(0, 'd'), 0);
+	await group.faults(0, {cutFromGroup: false});
+	t.match(await waiting, {kind: 'done'});
+	t.match(await run(owner, group, hold('a', {key: 'a'})), {kind: 'done', repeated: true});
+});
+
+type PauseCase = {name: string; before: Array<[string, number, number]>; after: Array<[string, number, number]>; advanceMs: number; expected: Partial<Outcome>};
+
+// The write completes at (1, 11); then the proxy learns what the case says, late or never (P2).
+const pauseCases: PauseCase[] = [
+	{
+		name: 'a majority has it', before: [], after: [['m0', 1, 11], ['m1', 1, 11]], advanceMs: 0, expected: {kind: 'done'},
+	},
+	{
+		name: 'only the primary has it', before: [], after: [['m0', 1, 11]], advanceMs: 1000, expected: {kind: 'unknown', code: 'confirmation-timeout'},
+	},
+	{
+		name: 'a majority had it before the proxy paused, then a promotion', before: [['m0', 1, 11], ['m1', 1, 11]], after: [['m1', 2, 12]], advanceMs: 0, expected: {kind: 'done'},
+	},
+	{
+		name: 'the next primary, with another entry at the index', before: [['m0', 1, 11]], after: [['m1', 2, 12], ['m2', 2, 12]], advanceMs: 0, expected: {kind: 'unknown', code: 'term-changed'},
+	},
+	{
+		name: 'replicas that are fenced at the next term', before: [], after: [['m0', 1, 11], ['m2', 2, 11]], advanceMs: 1000, expected: {kind: 'unknown', code: 'confirmation-timeout'},
+	},
+];
+
+for (const {name, before, after, advanceMs, expected} of pauseCases) {
+	test(`paused between the endpoint's answer and its own: ${name}`, async t => {
+		const group = new FakeGroup();
+		const owner = await group.own(1, 10);
+		group.answer = async () => {
+			for (const [memberId, term, index] of before) {
+				group.report(memberId, term, index, {role: memberId === 'm0' ? 'primary' : 'replica'});
+			}
+
+			return completed(1, 11);
+		};
+
+		const answer = owner.execute(hold('a'), group.timers.nowMs() + 1000);
+		await group.turn();
+		for (const [memberId, term, index] of after) {
+			group.report(memberId, term, index, {role: memberId === 'm0' || (memberId === 'm1' && term === 2) ? 'primary' : 'replica'});
+		}
+
+		await group.timers.advanceAsync(advanceMs, 50);
+		t.match(toOutcome(await answer), expected);
+	});
+}
+
+type RefusalCase = {
+	name: string; overrides?: OwnerOverrides; strike?: (group: TestGroup, owner: Owner) => Promise<void>; request?: ExecuteRequest; expected: Partial<Outcome>;
+};
+
+const unknownStatement: ExecuteRequest = {...pay('x'), statement: {$typeName: 'dogwoodthread.v1.Statement', name: 'no_such', parametersJson: '[]'}};
+const dayMs = 86_400_000;
+
+// Guards against "not run" for what ran, and against a short or foreign answer (P4, P5).
+const refusalCases: RefusalCase[] = [
+	{
+		name: 'before: the endpoint accepts no connection', async strike(group) {
+			await group.faults(0, {refuseConnections: true});
+		}, expected: {kind: 'notRun', code: 'no-connection'},
+	},
+	{
+		name: 'before: the endpoint is frozen', overrides: {policy: {connectTimeoutMs: 200}}, async strike(group) {
+			await group.faults(0, {frozen: true});
+		}, request: pay('x', {timeoutMs: 400}), expected: {kind: 'notRun', code: 'no-connection'},
+	},
+	{
+		name: 'before: the queue is full', overrides: {policy: {admission: {slots: 2, longSlots: 1, queueLength: 0}}}, async strike(group, owner) {
+			await group.faults(0, {answerDelayMs: 500});
+			void run(owner, group, pay('first', {timeoutMs: 4000}));
+			void run(owner, group, pay('second', {timeoutMs: 4000}));
+			await until(async () => await group.runs(0, 'first') === 1 && await group.runs(0, 'second') === 1);
+		}, expected: {kind: 'notRun', code: 'overloaded'},
+	},
+	{
+		name: 'before: the owner follows a term that is over', async strike(group) {
+			await group.connector.fence('ledger', group.members[0]!, 2);
+		}, expected: {kind: 'notRun', code: 'no-primary'},
+	},
+	{
+		name: 'at: the endpoint refuses the statement', request: unknownStatement, expected: {kind: 'notRun', code: 'refused-by-endpoint', retryAfterMs: 0},
+	},
+	{
+		name: 'at: the key belongs to another statement', async strike(group, owner) {
+			await run(owner, group, pay('first', {key: 'k'}));
+		}, request: pay('x', {key: 'k'}), expected: {kind: 'notRun', code: 'request-key-reused', retryAfterMs: 0},
+	},
+	{
+		name: 'at: the key is older than its record may be', request: pay('x', {key: 'k', issuedUnixMs: Date.now() - dayMs}), expected: {kind: 'notRun', code: 'request-key-expired', retryAfterMs: 0},
+	},
+	{
+		name: 'after: the answer does not come in time', overrides: {policy: {progressTimeoutMs: 300}}, async strike(group) {
+			await group.faults(0, {answerDelayMs: 60_000});
+		}, expected: {kind: 'unknown'},
+	},
+	{
+		name: 'after: the stream is cut in the middle of the rows', async strike(group) {
+			await group.faults(0, {dropMidRows: true});
+		}, expected: {kind: 'unknown', code: 'connection-lost'},
+	},
+	{
+		name: 'after: an answer for an id that was never issued', async strike(group) {
+			await group.faults(0, {crossAnswers: true});
+		}, expected: {kind: 'unknown', code: 'incomplete-answer'},
+	},
+];
+
+for (const {name, overrides, strike, request = pay('x', {timeoutMs: 2000, key: 'x'}), expected} of refusalCases) {
+	test(`write, ${name}`, async t => {
+		const group = await TestGroup.start(t);
+		const owner = await group.own(overrides);
+		// One warm connection, so that faults of answers strike the write and not the opening.
+		if (name.startsWith('a')) {
+			t.match(await run(owner, group, pay('warm')), {kind: 'done'});
+		}
+
+		await strike?.(group, owner);
+		t.match(await run(owner, group, request), expected);
+		t.equal(await group.runs(0, 'x'), expected.kind === 'notRun' ? 0 : 1, 'the log of the endpoint');
+		if (expected.kind === 'unknown') {
+			await group.faults(0, {answerDelayMs: 0, dropMidRows: false, crossAnswers: false});
+			await until(async () => {
+				const repeat = await run(owner, group, request);
+				return repeat.kind === 'done';
+			});
+			t.equal(await group.runs(0, 'x'), 1, 'the repeat did not run again');
+		}
+	});
+}
+
+// Guards against a payment that runs twice when its caller repeats it elsewhere (P6).
+test('a repeat by request key', async t => {
+	const group = await TestGroup.start(t, {serviceMs: {pay_deposit: 100}});
+	const owners = [await group.own({isActing: () => true}), await group.own({seat: seatOf(1), hostId: 'p1'})] as const;
+	const [during, beside] = await Promise.all(owners.map(async owner => run(owner, group, pay('p', {key: 'p'}))));
+	t.match([during?.kind, beside?.kind], ['done', 'done']);
+	t.same(new Set([during?.repeated, beside?.repeated]), new Set([false, true]), 'during the first run, through the other owner');
+	await group.faults(0, {frozen: true});
+	await until(() => owners.every(({state}) => state.tracker.term > 1 && state.primary !== undefined));
+	t.match(await run(owners[1], group, pay('p', {key: 'p'})), {kind: 'done', repeated: true, rows: during?.rows}, 'after a promotion');
+	t.match(await run(owners[1], group, pay('q', {key: 'p'})), {kind: 'notRun', code: 'request-key-reused'}, 'with another statement');
+	const primary = Number(owners[1].state.primary!.member.memberId.slice(1));
+	t.same(await group.logged(primary), ['p']);
+});
