Report crashed processes, keep logs and history on request, write the governing document

Cause: a proxy that crashed under paused-owner showed only as cut requests; logs of runs that held were gone; instances of 5 slots were used as if they had 2, the proxy's default.

--- a/packages/load/src/bin/dogwood-demo.ts
+++ b/packages/load/src/bin/dogwood-demo.ts
@@ -38,7 +38,7 @@
 
 const runDemo = async (seed: number): Promise<boolean> => {
 	const run = new ScenarioRun({
-		scenario: new FailoverScenario(), plan: deploymentPlans.demo, seed, durationMs, ratePerSecond, scenarioOptions: {}, timers: new SystemTimerService(), log,
+		scenario: new FailoverScenario(), plan: deploymentPlans.demo, seed, durationMs, ratePerSecond, scenarioOptions: {}, keepsLogs: false, timers: new SystemTimerService(), log,
 	});
 	const result = await run.run();
 	printResult(result);
--- a/packages/load/src/bin/dogwood-load.ts
+++ b/packages/load/src/bin/dogwood-load.ts
@@ -20,6 +20,7 @@
 	scenario: z.enum(scenarios.map(({name}) => name) as [string, ...string[]]),
 	seed: z.coerce.number().int(),
 	json: z.boolean().default(false),
+	keepLogs: z.boolean().default(false),
 	policy: z.enum(['fair', 'fifo']),
 	deployment: z.enum(['kiambu', 'molde']),
 	seconds: z.coerce.number().positive().max(maxSeconds),
@@ -52,6 +53,7 @@
 	durationMs: options.seconds * 1000,
 	ratePerSecond: options.rate,
 	scenarioOptions: {applyLagMs: options.applyLagMs},
+	keepsLogs: options.keepLogs,
 	timers: new SystemTimerService(),
 	log,
 });
@@ -108,6 +110,7 @@
 cli.command('<scenario>', `Runs a scenario and checks the history:\n${scenarios.map(({name, summary}) => `    ${name.padEnd(16)} ${summary}`).join('\n')}`)
 	.option('--seed <number>', 'seed of the random choices', {default: 1})
 	.option('--json', 'print only the JSON line')
+	.option('--keep-logs', 'keep the logs of all processes even if everything held')
 	.option('--policy <policy>', 'admission policy of the proxies: fair or fifo', {default: 'fair'})
 	.option('--deployment <name>', 'size: kiambu or molde', {default: 'kiambu'})
 	.option('--seconds <number>', 'how long the load runs', {default: 20})
--- a/packages/load/src/deployment/core/deployment.ts
+++ b/packages/load/src/deployment/core/deployment.ts
@@ -3,6 +3,7 @@
 import {type DeploymentPlan, type EndpointHandle, type ProxyHandle} from '../definitions.js';
 import {failureDomainOf} from '../domain/plans.js';
 import {establishGroup} from '../infra/group-starter.js';
+import {writeGoverningDocument} from '../infra/governing-document.js';
 import {PlatformClient} from '../infra/platform-client.js';
 import {ProgramStarter} from '../infra/program-starter.js';
 
@@ -40,6 +41,7 @@
 	async start(): Promise<void> {
 		const platform = await this.#programs.startWithArgs('platform', 'platform', ['--port', '0']);
 		this.#platform = new PlatformClient(`http://${platform.ready.address}`);
+		await writeGoverningDocument(this.platform.baseUrl, this.#plan);
 		await Promise.all(this.#plan.databases.map(async (database, index) => this.#startGroup(database, index)));
 		await this.publishHosts();
 		await this.#startProxies();
@@ -85,6 +87,10 @@
 		return this.endpoints.filter(endpoint => endpoint.database === database);
 	}
 
+	crashedProcesses(): string[] {
+		return this.#supervisor.crashedProcesses();
+	}
+
 	async stop(): Promise<void> {
 		await this.#supervisor.stopAll();
 		await this.#programs.removeSettings();
--- a/packages/load/src/process/infra/child-process.ts
+++ b/packages/load/src/process/infra/child-process.ts
@@ -27,6 +27,7 @@
 	readonly started: Promise<ReadyLine>;
 	#ready: ReadyLine = {event: 'ready'};
 	#isRunning = true;
+	#isEndRequested = false;
 	readonly #child: Child;
 	/** One ring for each output: a line cut between two chunks must not mix with the other output. */
 	readonly #logs: {stdout: LogRing; stderr: LogRing};
@@ -74,6 +75,11 @@
 		return this.#isRunning;
 	}
 
+	/** Whether the process ended without being asked to. */
+	get hasCrashed(): boolean {
+		return !this.#isRunning && !this.#isEndRequested;
+	}
+
 	pause(): void {
 		this.#signal('SIGSTOP');
 	}
@@ -83,11 +89,13 @@
 	}
 
 	async kill(): Promise<ProcessExit> {
+		this.#isEndRequested ||= this.#isRunning;
 		this.#signal('SIGKILL');
 		return this.exited;
 	}
 
 	async terminate(timeoutMs: number): Promise<ProcessExit> {
+		this.#isEndRequested ||= this.#isRunning;
 		this.#signal('SIGTERM');
 		const timer = setTimeout(() => {
 			this.#signal('SIGKILL');
--- a/packages/load/src/process/infra/process-supervisor.ts
+++ b/packages/load/src/process/infra/process-supervisor.ts
@@ -43,6 +43,11 @@
 		}
 	}
 
+	/** Names of the processes that ended without being asked to. */
+	crashedProcesses(): string[] {
+		return this.#processes.filter(({hasCrashed}) => hasCrashed).map(({name}) => name);
+	}
+
 	/** Kills every process that still runs and waits for its end. */
 	async stopAll(): Promise<void> {
 		await Promise.all(this.#processes.filter(child => child.isRunning).map(async child => child.kill()));
--- a/packages/load/src/scenario/core/run-scenario.ts
+++ b/packages/load/src/scenario/core/run-scenario.ts
@@ -1,3 +1,5 @@
+import {writeFile} from 'node:fs/promises';
+import path from 'node:path';
 import {checkHistory, isFreeOfHarm, type CheckReport} from '../../checker/index.js';
 import {
 	Deployment, type DeploymentPlan, readTruth, waitUntilCaughtUp,
@@ -48,13 +50,13 @@
 	async run(): Promise<RunResult> {
 		try {
 			const result = await this.#runSteps();
-			if (!result.ok) {
-				this.#options.log(`logs are in ${await this.#deployment.dumpLogs()}`);
+			if (!result.ok || this.#options.keepsLogs) {
+				this.#options.log(`logs are in ${await this.#dumpLogs()}`);
 			}
 
 			return result;
 		} catch (error) {
-			this.#options.log(`the run failed; logs are in ${await this.#deployment.dumpLogs()}`);
+			this.#options.log(`the run failed; logs are in ${await this.#dumpLogs()}`);
 			throw error;
 		} finally {
 			await this.stop();
@@ -67,6 +69,13 @@
 		await this.#deployment.stop();
 	}
 
+	/** Logs of all processes and the history, one entry a line. */
+	async #dumpLogs(): Promise<string> {
+		const folder = await this.#deployment.dumpLogs();
+		await writeFile(path.join(folder, 'history.jsonl'), this.#recorder.entries().map(entry => `${JSON.stringify(entry)}\n`).join(''));
+		return folder;
+	}
+
 	async #runSteps(): Promise<RunResult> {
 		const {log, durationMs, timers} = this.#options;
 		const scenario = this.#scenario;
@@ -80,7 +89,7 @@
 		log('load ends, waiting for the last answers');
 		await workload.stop();
 		const report = await this.#check();
-		const violations = [...scenarioErrors, ...this.#violations(report), ...scenario.verify?.(context, report) ?? []];
+		const violations = [...scenarioErrors, ...this.#deployment.crashedProcesses().map(name => `${name} crashed`), ...this.#violations(report), ...scenario.verify?.(context, report) ?? []];
 		return {
 			ok: violations.length === 0, report, workload: workload.stats(), figures: this.#figures, violations,
 		};
--- a/packages/load/src/scenario/definitions.ts
+++ b/packages/load/src/scenario/definitions.ts
@@ -57,6 +57,8 @@
 	durationMs: number;
 	ratePerSecond: number;
 	scenarioOptions: ScenarioOptions;
+	/** Keep the logs of all processes even if everything held. */
+	keepsLogs: boolean;
 	timers: TimerService;
 	log: ProgressLog;
 };
--- a/packages/load/test/process/process-supervisor.test.ts
+++ b/packages/load/test/process/process-supervisor.test.ts
@@ -16,18 +16,21 @@
 	const [first, second] = await Promise.all([supervisor.start(spec('first')), supervisor.start(spec('second'))]);
 	t.equal(first.ready.address, '127.0.0.1:1');
 	t.same(await first.terminate(10_000), {code: 7, signal: undefined});
+	t.same(supervisor.crashedProcesses(), []);
 	t.notOk(first.isRunning);
 	second.pause();
 	t.same(await second.terminate(50), {code: undefined, signal: 'SIGKILL'}, 'a paused process is killed after the time');
 	const third = await supervisor.start(spec('third'));
 	await supervisor.stopAll();
 	t.same(await third.exited, {code: undefined, signal: 'SIGKILL'});
+	t.same(supervisor.crashedProcesses(), []);
 });
 
 // Guards against waiting in vain for a program that cannot start, and against losing its log.
 test('a program that ends before it is ready is an error with its log', async t => {
 	const supervisor = new ProcessSupervisor();
 	await t.rejects(supervisor.start(spec('broken', ['fail'])), /broken ended before it was ready \(code 3.*starting/v);
+	t.same(supervisor.crashedProcesses(), ['broken']);
 	const folder = await supervisor.dumpLogs();
 	const files = await readdir(folder);
 	t.same(files, ['00-broken.log']);
