Notice silent peers on the stream itself instead of by HTTP/2 PING

Ruled out: the endpoint connections, which set no PING interval. Conclusion: a paused peer no longer ends its neighbours.

--- a/packages/proxy/src/peer/core/peer-clients.ts
+++ b/packages/proxy/src/peer/core/peer-clients.ts
@@ -19,10 +19,6 @@
 	link: ForwardLink | undefined;
 };
 
-/** HTTP/2 pings notice a connection that went silent without being closed. */
-const pingIntervalMs = 1000;
-const pingTimeoutMs = 1000;
-
 /** A connection without requests is closed after this time, so that few stay open in a large fleet. */
 const idleTimeoutMs = 60_000;
 
@@ -41,8 +37,13 @@
 		}
 
 		if (!peer.link?.usable) {
-			peer.link = new ForwardLink(peer.client, this.options.timers, () => {
+			peer.link = new ForwardLink(peer.client, this.options.timers, reason => {
 				peer.link = undefined;
+				if (reason === 'silent') {
+					// Other streams of a connection that went silent are silent, too.
+					peer.sessionManager.abort();
+					this.#peers.delete(peerAddress);
+				}
 			});
 		}
 
@@ -93,7 +94,7 @@
 		}
 
 		const baseUrl = `http://${peerAddress}`;
-		const sessionManager = new Http2SessionManager(baseUrl, {pingIntervalMs, pingTimeoutMs, idleConnectionTimeoutMs: idleTimeoutMs});
+		const sessionManager = new Http2SessionManager(baseUrl, {idleConnectionTimeoutMs: idleTimeoutMs});
 		const transport = createConnectTransport({baseUrl, httpVersion: '2', sessionManager});
 		const peer = {client: createClient(PeerService, transport), sessionManager, link: undefined};
 		this.#peers.set(peerAddress, peer);
