Measure starts and crashes; lower the bounds of pushes and exchanges

The crash of one of 11 domains in a fleet of 990 made each member send 9,899 B in the worst second, just under the limit of 10 kB/s, with exchanges of up to 48 kB as a large part. Pushes are now bounded to 3,500 B/s and an answer of an exchange to 24 kB; a start at 4,900 members takes more rounds.

--- a/packages/coordination/src/membership/domain/settings.ts
+++ b/packages/coordination/src/membership/domain/settings.ts
@@ -37,9 +37,10 @@
 	pushFanout: 3,
 	pushIntervalMs: 200,
 	// With probes and exchanges this stays under 10 kB/s, also when a failure domain fails at once.
-	pushBytesPerSecond: 4000,
-	// Fits the default receive buffer of a Linux socket (208 KiB, where a datagram takes about 2.3 kB).
-	exchangeBytes: 48_000,
+	pushBytesPerSecond: 3500,
+	// An exchange each way then stays under 2 kB/s on average, also while most buckets differ. It fits the
+	// default receive buffer of a Linux socket (208 KiB, where a datagram takes about 2.3 kB).
+	exchangeBytes: 24_000,
 	maxVerificationsPerInterval: 20,
 };
 
--- a/packages/load/src/capacity/fleet-measurements.ts
+++ b/packages/load/src/capacity/fleet-measurements.ts
@@ -51,10 +51,12 @@
 const seeAllDead = (fleet: GossipFleet, dead: readonly string[]): boolean =>
 	fleet.members.every(({membership}) => dead.every(hostId => membership.get(hostId)?.state === 'dead'));
 
-/** Times in ms until all members see one crashed member as dead, one for each trial. */
-const measureNotice = async (size: number, seed: number): Promise<number[]> => {
+/** Crashes of single members: times in ms until all others see them as dead, and bytes of pushes for each member and crash. */
+const measureNotice = async (size: number, seed: number): Promise<{timesMs: number[]; pushedBytes: number}> => {
 	const {timers, fleet, random} = await startFleet(size + trials, seed);
-	return Array.from({length: trials}, () => {
+	const pushedBytes = () => fleet.members.reduce((sum, {membership}) => sum + membership.counters.sent.push.bytes, 0) / size;
+	const before = pushedBytes();
+	const timesMs = Array.from({length: trials}, () => {
 		timers.advance(random() * 1000);
 		const crashed = fleet.members[Math.floor(random() * fleet.members.length)]!;
 		fleet.crash(crashed);
@@ -65,6 +67,8 @@
 
 		return timers.nowMs() - startMs;
 	});
+	timers.advance(20_000);
+	return {timesMs, pushedBytes: (pushedBytes() - before) / trials};
 };
 
 /** Crash of a whole failure domain: time until all see it, and the most that a member sends in one second. */
@@ -118,8 +122,9 @@
 		fleet('gossip-processor', 'µs/s', cost(({processorUs}) => processorUs)),
 		fleet('gossip-sent', 'B/s', cost(({sentBytes}) => sentBytes)),
 		fleet('gossip-datagrams', '1/s', cost(({datagrams}) => datagrams)),
-		fleet('crash-noticed-mean', 'ms', notice(mean), rounds),
-		fleet('crash-noticed-worst', 'ms', notice(timesMs => Math.max(...timesMs)), rounds),
+		fleet('crash-noticed-mean', 'ms', notice(({timesMs}) => mean(timesMs)), rounds),
+		fleet('crash-noticed-worst', 'ms', notice(({timesMs}) => Math.max(...timesMs)), rounds),
+		fleet('crash-gossip', 'B', notice(({pushedBytes}) => pushedBytes), rounds),
 		fleet('domain-failure-noticed', 'ms', domainFailure(({noticedMs}) => noticedMs), domain),
 		fleet('domain-failure-peak-sent', 'B/s', domainFailure(({peakBytes}) => peakBytes), domain),
 		fleet('domain-failure-processor', 'µs/s', domainFailure(({processorUs}) => processorUs), {...domain, scale: 'linear'}),
--- a/packages/load/src/capacity/index.ts
+++ b/packages/load/src/capacity/index.ts
@@ -2,6 +2,7 @@
 import {type Measurement} from './definitions.js';
 import {createDocumentMeasurements} from './document-measurements.js';
 import {createFleetMeasurements} from './fleet-measurements.js';
+import {createJoinMeasurements} from './join-measurements.js';
 import {createMembershipMeasurements} from './membership-measurements.js';
 import {createUdpMeasurements} from './udp-measurements.js';
 
@@ -12,6 +13,7 @@
 /** All measurements; other parts add theirs to this table. */
 export const createMeasurements = (seed: number): Measurement[] => [
 	...createMembershipMeasurements(seed),
+	...createJoinMeasurements(seed),
 	...createFleetMeasurements(seed),
 	...createDocumentMeasurements(seed),
 	...createUdpMeasurements(seed),
--- a/packages/load/src/capacity/lone-member.ts
+++ b/packages/load/src/capacity/lone-member.ts
@@ -7,7 +7,7 @@
 } from '@dogwoodthread/protocol';
 import {domainCount, regionCount} from './gossip-fleet.js';
 
-type Listener = (fromAddress: string, payload: Uint8Array) => void;
+export type Listener = (fromAddress: string, payload: Uint8Array) => void;
 
 const startedUnixMs = 1_700_000_000_000;
 const membersPerDatagram = 8;
@@ -31,6 +31,8 @@
  */
 export class LoneMember {
 	readonly membership: GossipMembership;
+	/** Real members besides this one, by address. */
+	readonly receivers = new Map<string, Listener>();
 	readonly transport: DatagramTransport;
 	#listener: Listener | undefined;
 	#sequence = 0n;
@@ -40,7 +42,14 @@
 		this.transport = {
 			address: self.gossipAddress,
 			send: (address, payload) => {
-				this.#answer(address, fromBinary(GossipDatagramSchema, payload));
+				const receiver = this.receivers.get(address);
+				if (receiver) {
+					timers.after(1, () => {
+						receiver(self.gossipAddress, payload);
+					});
+				} else {
+					this.#answer(address, fromBinary(GossipDatagramSchema, payload));
+				}
 			},
 			onReceive: listener => {
 				this.#listener = listener;
@@ -65,6 +74,13 @@
 		}
 	}
 
+	/** Hands the member a datagram of another real member. */
+	deliver(fromAddress: string, payload: Uint8Array): void {
+		this.timers.after(1, () => {
+			this.#listener?.(fromAddress, payload);
+		});
+	}
+
 	/** Joins, and is probed once a second by a random member. */
 	start(): void {
 		this.membership.join([]);
