Speed up the merge of regions and bound its cost

Exchanges now start at a random phase, a member repeats its entry when it hears an outdated claim about itself, contested members are told by an unanswered push, and refutations leave out the addresses.

--- a/packages/coordination/src/membership/core/claim-receiver.ts
+++ b/packages/coordination/src/membership/core/claim-receiver.ts
@@ -9,7 +9,7 @@
 	verify(claim: Member): void;
 };
 
-/** Fills in the fields that updates about suspect and dead members leave out, if they are known. */
+/** Fills in the fields that most updates leave out, if they are known. */
 const withKnownFields = (claim: Member, known: Member | undefined): Member | undefined => {
 	if (claim.gossipAddress !== '') {
 		return claim;
@@ -98,6 +98,9 @@
 		const negative = claim.state === 'suspect' || claim.state === 'dead';
 		if (claim.startedUnixMs === self.startedUnixMs && negative && claim.refutation >= self.refutation) {
 			this.effects.refute(claim);
+		} else if (claim.startedUnixMs < self.startedUnixMs || (claim.startedUnixMs === self.startedUnixMs && negative)) {
+			// The sender missed the refutation or the restart.
+			this.context.queue.add(self);
 		} else if (claim.startedUnixMs > self.startedUnixMs) {
 			this.context.logger?.warn({hostId: self.hostId, startedUnixMs: claim.startedUnixMs}, 'A later incarnation of this host is running; stop this process or correct the clock.');
 		}
--- a/packages/coordination/src/membership/core/datagram-codec.ts
+++ b/packages/coordination/src/membership/core/datagram-codec.ts
@@ -60,7 +60,7 @@
 		region: intern(wire.region),
 		documentVersion: Number(wire.documentVersion),
 	};
-	if (!states.has(member.state) || member.hostId === '' || (member.gossipAddress === '' && !isNegative(member.state))) {
+	if (!states.has(member.state) || member.hostId === '') {
 		throw new TypeError(`Member entry with state "${member.state}" and host "${member.hostId}" is invalid`);
 	}
 
@@ -69,13 +69,11 @@
 
 export const encodeMember = (member: Member): Uint8Array => toBinary(GossipMemberSchema, toWireMember(member));
 
-const isNegative = (state: string): boolean => state === 'suspect' || state === 'dead';
-
 /**
- * Encodes an update. Suspicions and deaths carry the identity only, a third of the bytes, since they
- * mean something only to members that know the rest.
+ * Encodes an update. Suspicions, deaths and refutations carry the identity only, a third of the bytes,
+ * since they mean something only to members that know the rest.
  */
-export const encodeUpdate = (member: Member): Uint8Array => encodeMember(isNegative(member.state)
+export const encodeUpdate = (member: Member): Uint8Array => encodeMember(member.state === 'suspect' || member.state === 'dead' || member.refutation > 0
 	? {
 		...member, gossipAddress: '', peerAddress: '', failureDomain: '', region: '', documentVersion: 0,
 	}
--- a/packages/coordination/src/membership/core/datagram-sender.ts
+++ b/packages/coordination/src/membership/core/datagram-sender.ts
@@ -9,8 +9,8 @@
 export type SendOptions = {
 	/** Host that is expected at the address. */
 	toHostId?: string;
-	/** Update to send regardless of the queue. */
-	extra?: Member;
+	/** Only update to send, instead of those in the queue. */
+	only?: Member;
 };
 
 /** Builds datagrams, fills them up with queued updates and counts them. */
@@ -26,7 +26,7 @@
 		const base = encodeDatagram(this.header(), message);
 		const first = this.#firstUpdates(options).map(member => encodeUpdate(member));
 		const usedBytes = base.length + first.reduce((sum, encoded) => sum + encodedSizeBytes(encoded), 0);
-		const queued = queue.take(settings.maxDatagramBytes - usedBytes, retransmissions(table.size));
+		const queued = options.only ? [] : queue.take(settings.maxDatagramBytes - usedBytes, retransmissions(table.size));
 		const payload = appendUpdates(base, [...first, ...queued]);
 		countTraffic(counters.sent[message.case], payload.length);
 		transport.send(address, payload);
@@ -40,10 +40,13 @@
 	}
 
 	/** A member that is believed suspect or dead is told so, and can refute at once. */
-	#firstUpdates({toHostId, extra}: SendOptions): Member[] {
+	#firstUpdates({toHostId, only}: SendOptions): Member[] {
+		if (only) {
+			return [only];
+		}
+
 		const receiver = toHostId === undefined ? undefined : this.context.table.get(toHostId);
-		const toldReceiver = receiver && (receiver.state === 'suspect' || receiver.state === 'dead') ? [receiver] : [];
-		return extra ? [extra, ...toldReceiver] : toldReceiver;
+		return receiver && (receiver.state === 'suspect' || receiver.state === 'dead') ? [receiver] : [];
 	}
 }
 
--- a/packages/coordination/src/membership/core/gossip-membership.ts
+++ b/packages/coordination/src/membership/core/gossip-membership.ts
@@ -216,7 +216,7 @@
 
 		this.#verifications.count += 1;
 		if (this.#verifications.count <= settings.maxVerificationsPerInterval) {
-			this.#prober.pingMember(claim.hostId, claim);
+			this.#pusher.tellSubject(claim);
 		}
 	}
 
--- a/packages/coordination/src/membership/core/maintenance.ts
+++ b/packages/coordination/src/membership/core/maintenance.ts
@@ -20,13 +20,10 @@
 	constructor(private readonly context: GossipContext, private readonly parts: MaintenanceParts) {}
 
 	start(seedAddresses: readonly string[]): void {
-		const {timers, settings, random, transport} = this.context;
+		const {settings, transport} = this.context;
 		this.#seedAddresses = seedAddresses.filter(address => address !== transport.address);
 		this.#contactSeeds(this.#seedAddresses, settings.indirectProbes);
-		// A random phase keeps members that start together from probing in step.
-		this.#subscriptions.push(timers.after(random() * settings.probeIntervalMs, () => {
-			this.#subscribe();
-		}));
+		this.#subscribe();
 	}
 
 	stop(): void {
@@ -54,10 +51,15 @@
 		});
 	}
 
+	/** Starts at a random phase, so that members that start together don't act in step. */
 	#every(intervalMs: number, callback: () => void): void {
-		// The rules take the timer for an array.
-		// eslint-disable-next-line unicorn/no-array-callback-reference, unicorn/no-array-method-this-argument
-		this.#subscriptions.push(this.context.timers.every(intervalMs, callback));
+		const {timers, random} = this.context;
+		this.#subscriptions.push(timers.after(random() * intervalMs, () => {
+			callback();
+			// The rules take the timer for an array.
+			// eslint-disable-next-line unicorn/no-array-callback-reference, unicorn/no-array-method-this-argument
+			this.#subscriptions.push(timers.every(intervalMs, callback));
+		}));
 	}
 
 	#probeNext(): void {
--- a/packages/coordination/src/membership/core/prober.ts
+++ b/packages/coordination/src/membership/core/prober.ts
@@ -54,11 +54,11 @@
 		return sequence;
 	}
 
-	/** Sends a single ping to a known member, with a claim about it if one is given. */
-	pingMember(hostId: string, extra?: Member): void {
+	/** Sends a single ping to a known member. */
+	pingMember(hostId: string): void {
 		const member = this.context.table.get(hostId);
 		if (member) {
-			this.ping(member.gossipAddress, {toHostId: hostId, extra});
+			this.ping(member.gossipAddress, {toHostId: hostId});
 		}
 	}
 
--- a/packages/coordination/src/membership/core/update-pusher.ts
+++ b/packages/coordination/src/membership/core/update-pusher.ts
@@ -1,5 +1,6 @@
 import {create} from '@bufbuild/protobuf';
 import {GossipPushSchema} from '@dogwoodthread/protocol';
+import {type Member} from '../definitions.js';
 import {sample} from '../domain/random.js';
 import {type DatagramSender} from './datagram-sender.js';
 import {type GossipContext} from './gossip-context.js';
@@ -35,6 +36,14 @@
 		this.#allowanceBytes -= counters.sent.push.bytes - beforeBytes;
 	}
 
+	/** Tells a member, and nobody else, what is claimed about it. */
+	tellSubject(claim: Member): void {
+		const member = this.context.table.get(claim.hostId);
+		if (member) {
+			this.sender.send(member.gossipAddress, {case: 'push', value: create(GossipPushSchema)}, {only: claim});
+		}
+	}
+
 	#refill(): void {
 		const {timers, settings} = this.context;
 		const nowMs = timers.nowMs();
--- a/packages/coordination/src/membership/domain/settings.ts
+++ b/packages/coordination/src/membership/domain/settings.ts
@@ -41,6 +41,7 @@
 	// An exchange each way then stays under 2 kB/s on average, also while most buckets differ. It fits the
 	// default receive buffer of a Linux socket (208 KiB, where a datagram takes about 2.3 kB).
 	exchangeBytes: 24_000,
+	// About 100 bytes each.
 	maxVerificationsPerInterval: 20,
 };
 
--- a/packages/load/src/capacity/index.ts
+++ b/packages/load/src/capacity/index.ts
@@ -4,6 +4,7 @@
 import {createFleetMeasurements} from './fleet-measurements.js';
 import {createJoinMeasurements} from './join-measurements.js';
 import {createMembershipMeasurements} from './membership-measurements.js';
+import {createPartitionMeasurements} from './partition-measurements.js';
 import {createUdpMeasurements} from './udp-measurements.js';
 
 export type {Measurement, MeasurementResult, Point} from './definitions.js';
@@ -16,5 +17,6 @@
 	...createJoinMeasurements(seed),
 	...createFleetMeasurements(seed),
 	...createDocumentMeasurements(seed),
+	...createPartitionMeasurements(seed),
 	...createUdpMeasurements(seed),
 ];
