--- a/packages/load/src/capacity/index.ts
+++ b/packages/load/src/capacity/index.ts
@@ -2,7 +2,9 @@
 import {type Measurement} from './definitions.js';
 import {createDocumentMeasurements} from './document-measurements.js';
 import {createFleetMeasurements} from './fleet-measurements.js';
+import {createJoinMeasurements} from './join-measurements.js';
 import {createMembershipMeasurements} from './membership-measurements.js';
+import {createPartitionMeasurements} from './partition-measurements.js';
 import {createUdpMeasurements} from './udp-measurements.js';
 
 export type {Measurement, MeasurementResult, Point} from './definitions.js';
@@ -12,7 +14,9 @@
 /** All measurements; other parts add theirs to this table. */
 export const createMeasurements = (seed: number): Measurement[] => [
 	...createMembershipMeasurements(seed),
+	...createJoinMeasurements(seed),
 	...createFleetMeasurements(seed),
 	...createDocumentMeasurements(seed),
+	...createPartitionMeasurements(seed),
 	...createUdpMeasurements(seed),
 ];
