Push positions to the acting owner only; no compression between processes

Cause: a CPU profile of a proxy at 300 requests/s showed zlib among its larger parts, and every append at an endpoint was pushed to all three owners although only the acting one waits for it. Change: `push_positions` in MonitorRequest, set by the acting owner; a standby pings every second instead of every 200 ms; compression is off on the links between processes.

--- a/packages/load/src/workload/infra/connect-caller-client.ts
+++ b/packages/load/src/workload/infra/connect-caller-client.ts
@@ -106,7 +106,9 @@
 
 		const baseUrl = `http://${proxyAddress}`;
 		const sessions = new Http2SessionManager(baseUrl);
-		const client = createClient(CallerService, createConnectTransport({httpVersion: '2', baseUrl, sessionManager: sessions}));
+		const client = createClient(CallerService, createConnectTransport({
+			httpVersion: '2', baseUrl, sessionManager: sessions, acceptCompression: [],
+		}));
 		const connection = {client, sessions};
 		this.#connections.set(proxyAddress, connection);
 		return connection;
--- a/packages/proxy/src/daemon/connect-server.ts
+++ b/packages/proxy/src/daemon/connect-server.ts
@@ -29,9 +29,9 @@
 		return `${host}:${address.port}`;
 	}
 
-	/** Answers requests from now on; until then they wait. */
+	/** Answers requests from now on; until then they wait. Compression would cost more than the short way saves. */
 	serve(register: (router: ConnectRouter) => void): void {
-		this.#server.on('request', connectNodeAdapter({routes: register, readMaxBytes: maxMessageBytes}));
+		this.#server.on('request', connectNodeAdapter({routes: register, readMaxBytes: maxMessageBytes, acceptCompression: []}));
 	}
 
 	/** Sends GOAWAY on every connection; streams that are open go on to their end. */
--- a/packages/proxy/src/endpoint/definitions.ts
+++ b/packages/proxy/src/endpoint/definitions.ts
@@ -64,8 +64,11 @@
 export type EndpointMonitor = {
 	/** Resolves when the stream has ended. */
 	readonly closed: Promise<void>;
-	/** Asks for a status; the answer comes to the listener. */
-	ping(): void;
+	/**
+	 * Asks for a status; the answer comes to the listener. With `pushPositions` the instance also sends a
+	 * status whenever its log grows, until a ping without it.
+	 */
+	ping(pushPositions: boolean): void;
 	close(): void;
 };
 
--- a/packages/proxy/src/endpoint/infra/connect-endpoint-connector.ts
+++ b/packages/proxy/src/endpoint/infra/connect-endpoint-connector.ts
@@ -98,7 +98,7 @@
 				deadline.cancel();
 			});
 		});
-		this.#ask(identity);
+		this.#ask(false, identity);
 		void this.#readStatuses();
 		const outcome = await Promise.race([first, expired, this.closed]);
 		if (outcome === 'answered') {
@@ -109,8 +109,8 @@
 		return err(unreachable('The instance did not answer the monitor in time; check the instance.'));
 	}
 
-	ping(): void {
-		this.#ask();
+	ping(pushPositions: boolean): void {
+		this.#ask(pushPositions);
 	}
 
 	close(): void {
@@ -119,12 +119,13 @@
 		this.#settleClosed();
 	}
 
-	#ask(identity?: ConnectionIdentity): void {
+	#ask(pushPositions: boolean, identity?: ConnectionIdentity): void {
 		const pingId = this.#nextPingId;
 		this.#nextPingId += 1n;
 		this.#askedAtMs.set(pingId, this.timers.nowMs());
 		this.#requests.push(create(MonitorRequestSchema, {
 			pingId,
+			pushPositions,
 			hello: identity && create(HelloSchema, {...identity, generation: BigInt(identity.generation)}),
 		}));
 	}
@@ -154,6 +155,8 @@
 function openWire(address: string): Wire {
 	const baseUrl = `http://${address}`;
 	const sessionManager = new Http2SessionManager(baseUrl);
-	const transport = createConnectTransport({baseUrl, httpVersion: '2', sessionManager});
+	const transport = createConnectTransport({
+		baseUrl, httpVersion: '2', sessionManager, acceptCompression: [],
+	});
 	return {client: createClient(EndpointService, transport), sessionManager};
 }
--- a/packages/proxy/src/owner/core/member-monitor.ts
+++ b/packages/proxy/src/owner/core/member-monitor.ts
@@ -2,11 +2,14 @@
 import {type EndpointMonitor, monitorIndexBase} from '../../endpoint/index.js';
 import {type MemberHealth, type OwnerOptions} from '../definitions.js';
 
-/** Interval of pings; bounds how old the known position of a member is. */
+/** Interval of pings while this proxy acts; bounds how old the known position of a member is. */
 export const pingIntervalMs = 200;
 
-/** Time without an answer after which the stream counts as silent and a fresh one is opened beside it. */
-const silentMs = 600;
+/** A standby only has to notice a failed instance and a new primary, so it asks for a fifth as much. */
+const pingsSkippedByStandby = 4;
+
+/** Pings without an answer after which the stream counts as silent and a fresh one is opened beside it. */
+const maxUnansweredPings = 3;
 
 const reconnectDelayMs = 100;
 
@@ -19,12 +22,13 @@
 	};
 
 	#stopped = false;
-	#lastAnswerMs = 0;
+	#unansweredPings = 0;
+	#skippedPings = 0;
 	#current: EndpointMonitor | undefined;
 	#pings: TimerSubscription | undefined;
 
 	constructor(
-		private readonly options: Pick<OwnerOptions, 'connector' | 'timers' | 'policy' | 'database' | 'seat' | 'hostId' | 'logger'>,
+		private readonly options: Pick<OwnerOptions, 'connector' | 'timers' | 'policy' | 'database' | 'seat' | 'hostId' | 'isActing' | 'logger'>,
 		private readonly member: GroupMember,
 		private readonly listener: MonitorListener,
 		private readonly onDown: (member: GroupMember) => void,
@@ -84,11 +88,12 @@
 		this.#current?.close();
 		this.#current = monitor;
 		this.health.monitorUp = true;
-		this.#lastAnswerMs = timers.nowMs();
+		this.#unansweredPings = 0;
+		this.#ping(monitor);
 		const silent = new Promise<void>(resolve => {
 			this.#pings = timers.every(pingIntervalMs, () => {
-				monitor.ping();
-				if (timers.nowMs() - this.#lastAnswerMs > silentMs) {
+				this.#pingWhenDue(monitor);
+				if (this.#unansweredPings > maxUnansweredPings) {
 					logger.warn({event: 'monitor-silent', memberId: this.member.memberId});
 					resolve();
 				}
@@ -98,9 +103,23 @@
 		this.#pings?.cancel();
 	}
 
+	#pingWhenDue(monitor: EndpointMonitor): void {
+		if (this.options.isActing() || this.#skippedPings >= pingsSkippedByStandby || this.#unansweredPings > 0) {
+			this.#skippedPings = 0;
+			this.#ping(monitor);
+		} else {
+			this.#skippedPings += 1;
+		}
+	}
+
+	#ping(monitor: EndpointMonitor): void {
+		this.#unansweredPings += 1;
+		monitor.ping(this.options.isActing());
+	}
+
 	#accept(status: MemberStatus, askedAtMs: number | undefined): void {
 		const nowMs = this.options.timers.nowMs();
-		this.#lastAnswerMs = nowMs;
+		this.#unansweredPings = 0;
 		this.health.status = status;
 		const lost = status.role === 'replica' && !status.primaryContact;
 		this.health.contactLostSinceMs = lost ? this.health.contactLostSinceMs ?? nowMs : undefined;
--- a/packages/proxy/src/peer/core/peer-clients.ts
+++ b/packages/proxy/src/peer/core/peer-clients.ts
@@ -95,7 +95,9 @@
 
 		const baseUrl = `http://${peerAddress}`;
 		const sessionManager = new Http2SessionManager(baseUrl, {idleConnectionTimeoutMs: idleTimeoutMs});
-		const transport = createConnectTransport({baseUrl, httpVersion: '2', sessionManager});
+		const transport = createConnectTransport({
+			baseUrl, httpVersion: '2', sessionManager, acceptCompression: [],
+		});
 		const peer = {client: createClient(PeerService, transport), sessionManager, link: undefined};
 		this.#peers.set(peerAddress, peer);
 		return peer;
--- a/packages/standin/src/endpoint/infra/monitor-stream.ts
+++ b/packages/standin/src/endpoint/infra/monitor-stream.ts
@@ -16,6 +16,7 @@
 	#isOpen = false;
 	#isClosed = false;
 	#isPushPlanned = false;
+	#pushesPositions = false;
 	#lastPushed = '';
 	readonly #stopListening: Array<() => void> = [];
 
@@ -34,12 +35,13 @@
 
 	async run(requests: AsyncIterable<MonitorRequest>): Promise<void> {
 		try {
-			for await (const {hello, pingId} of requests) {
+			for await (const {hello, pingId, pushPositions} of requests) {
 				await this.instance.faults.untilThawed();
 				if (this.#isClosed || (!this.#isOpen && !await this.#open(hello))) {
 					return;
 				}
 
+				this.#pushesPositions = pushPositions;
 				if (pingId !== 0n) {
 					this.outbox.push({...this.instance.monitorStatus(), pingId});
 				}
@@ -89,7 +91,8 @@
 		setImmediate(() => {
 			this.#isPushPlanned = false;
 			const {faults, member} = this.instance;
-			const key = JSON.stringify([member.status, faults.values.leaving]);
+			const {received, applied, ...standing} = member.status;
+			const key = JSON.stringify([standing, faults.values.leaving, ...this.#pushesPositions ? [received, applied] : []]);
 			// While frozen nothing is queued, so that the thaw shows one current status instead of old ones.
 			if (key !== this.#lastPushed && !faults.values.frozen) {
 				this.#lastPushed = key;
--- a/packages/standin/src/endpoint/start-endpoint.ts
+++ b/packages/standin/src/endpoint/start-endpoint.ts
@@ -43,7 +43,7 @@
 		port: settings.endpointPort,
 		faults,
 		refuses: () => faults.values.refuseConnections,
-		consumer: createHttp2Server(connectNodeAdapter({routes: endpointRoutes(instance)})),
+		consumer: createHttp2Server(connectNodeAdapter({routes: endpointRoutes(instance), acceptCompression: []})),
 	});
 	const replication = await listenGated({
 		host,
