--- a/packages/load/src/bin/dogwood-capacity.ts
+++ b/packages/load/src/bin/dogwood-capacity.ts
@@ -22,19 +22,35 @@
 	return results;
 };
 
+/** Throws on unknown options. */
 const parseArguments = () => {
 	const cli = cac('dogwood-capacity');
-	cli.usage('[options]\n\n  Measures what each part costs against its size; prints JSON, then a table.');
-	cli.option('--only <text>', 'Run only measurements whose name contains the text');
-	cli.option('--seed <number>', 'Seed of the random numbers', {default: 1});
-	cli.option('--json', 'Print only the JSON');
+	cli.command('', 'Measure what each part costs against its size; prints JSON, then a table')
+		.option('--only <text>', 'Run only measurements whose name contains the text')
+		.option('--seed <number>', 'Seed of the random numbers', {default: 1})
+		.option('--json', 'Print only the JSON');
 	cli.help();
 	cli.version(version);
-	return cli.parse();
+	const parsed = cli.parse(process.argv, {run: false});
+	cli.matchedCommand?.checkUnknownOptions();
+	return parsed;
+};
+
+const tryParseArguments = () => {
+	try {
+		return parseArguments();
+	} catch (error) {
+		logger.error({err: error}, 'Wrong usage; see --help.');
+		return undefined;
+	}
 };
 
 const main = async (): Promise<number> => {
-	const {options} = parseArguments();
+	const options = tryParseArguments()?.options;
+	if (!options) {
+		return 2;
+	}
+
 	if ([options.help, options.version].includes(true)) {
 		return 0;
 	}
