--- /dev/null
+++ b/packages/coordination/test/group/fake-group.ts
@@ -0,0 +1,324 @@
+import {
+	err, ok, ResultAsync, type Result,
+} from 'neverthrow';
+import {
+	ConfirmationTracker, type ControlError, type GroupControl, type GroupMember, type LogPosition, ManualTimerService,
+	MemoryPlatform, type MemberStatus, type ObjectKind, type Platform, type PlatformError, PromotePrimary, type PromotionRequest,
+} from '../../src/index.js';
+
+/** Log entry; its index is its place in the log, counted from 1. */
+type Entry = {term: number; id: number};
+
+const isSameEntry = (a: Entry | undefined, b: Entry | undefined) => a?.id === b?.id;
+
+/** An instance that keeps the rules of the design for terms, fences and replication. */
+export class FakeMember {
+	log: Entry[] = [];
+	fencedTerm = 0;
+	verifiedTerm = 0;
+	role: MemberStatus['role'] = 'replica';
+	following: {term: number; memberId: string} | undefined;
+	/** Control and replication calls fail. */
+	down = false;
+
+	constructor(readonly memberId: string) {}
+
+	get last(): LogPosition {
+		return {term: this.log.at(-1)?.term ?? 0, index: this.log.length};
+	}
+
+	get status(): MemberStatus {
+		const {memberId, role, fencedTerm, verifiedTerm, last} = this;
+		return {
+			memberId, role, fencedTerm, verifiedTerm, received: last, applied: last, primaryContact: true, leaving: false, slots: 5, busySlots: 0,
+		};
+	}
+
+	/** A restart without the log, which loses the fence, too. */
+	loseLog(): void {
+		Object.assign(this, new FakeMember(this.memberId));
+	}
+
+	enterTerm(term: number): void {
+		if (term > this.fencedTerm) {
+			this.fencedTerm = term;
+			this.role = 'replica';
+			this.following = undefined;
+		}
+	}
+}
+
+/** A proxy's view: reports of each member arrive in order, but as late as the test likes. */
+export class Observer {
+	readonly tracker: ConfirmationTracker;
+	/** Highest index that this proxy acknowledged, by term. */
+	readonly acknowledged = new Map<number, number>();
+	readonly queues = new Map<string, MemberStatus[]>();
+
+	constructor(groupSize: number) {
+		this.tracker = new ConfirmationTracker(groupSize);
+	}
+
+	deliver(memberId: string): void {
+		const status = this.queues.get(memberId)?.shift();
+		if (!status) {
+			return;
+		}
+
+		if (status.role === 'primary' && status.fencedTerm === status.verifiedTerm) {
+			this.tracker.setTerm(status.verifiedTerm);
+		}
+
+		this.tracker.report(status);
+		this.acknowledged.set(this.tracker.term, this.tracker.confirmedIndex);
+	}
+
+	deliverAll(): void {
+		for (const [memberId, queue] of this.queues) {
+			while (queue.length > 0) {
+				this.deliver(memberId);
+			}
+		}
+	}
+}
+
+/** A group in memory with its record at a platform, and everything that is needed to judge property P2. */
+export class FakeGroup implements GroupControl {
+	readonly platform = new MemoryPlatform();
+	readonly members: FakeMember[];
+	/** One proxy that gets reports at once, one that was paused. */
+	readonly prompt: Observer;
+	readonly paused: Observer;
+	/** Every entry that the primary of a term ever had, and which members were primary of it. */
+	readonly termLogs = new Map<number, Entry[]>();
+	readonly primaries = new Map<number, Set<string>>();
+	readonly #replacedWrites: Array<{term: number; index: number}> = [];
+	#nextId = 1;
+
+	constructor(readonly memberIds = ['a', 'b', 'c']) {
+		this.members = memberIds.map(memberId => new FakeMember(memberId));
+		this.prompt = new Observer(memberIds.length);
+		this.paused = new Observer(memberIds.length);
+	}
+
+	/** Group with primary `a` in term 1 whose log has `indexes[n]` entries at the n-th member. */
+	// eslint-disable-next-line @typescript-eslint/member-ordering
+	static async create(indexes: readonly number[] = [3, 3, 2], memberIds = ['a', 'b', 'c']): Promise<FakeGroup> {
+		const group = new FakeGroup(memberIds);
+		const members = group.groupMembers;
+		const primary = members.find(({memberId}) => memberId === 'a')!;
+		await group.fence('ledger', primary, 1);
+		await group.promote('ledger', primary, 1);
+		await Promise.all(members.filter(member => member !== primary).map(async member => group.follow('ledger', member, 1, primary)));
+		for (let index = 1; index <= Math.max(...indexes); index += 1) {
+			for (const [position, memberId] of memberIds.entries()) {
+				if (memberId !== 'a' && index <= indexes[position]!) {
+					group.pull(memberId);
+				}
+			}
+
+			if (index < indexes[memberIds.indexOf('a')]!) {
+				group.write('a', 1);
+			}
+		}
+
+		await group.platform.put('groups', 'ledger', {
+			database: 'ledger', members, term: 1, primary: 'a', phase: 'established', changeId: 'start',
+		}, 0);
+		return group;
+	}
+
+	get groupMembers(): GroupMember[] {
+		return this.memberIds.map(memberId => ({
+			memberId, address: `${memberId}:1`, replicationAddress: `${memberId}:2`, failureDomain: memberId,
+		}));
+	}
+
+	member(memberId: string): FakeMember {
+		return this.members.find(member => member.memberId === memberId)!;
+	}
+
+	async fence(_database: string, {memberId}: GroupMember, term: number) {
+		return this.#control(memberId, term, member => {
+			member.enterTerm(term);
+			return true;
+		});
+	}
+
+	async promote(_database: string, {memberId}: GroupMember, term: number) {
+		return this.#control(memberId, term, member => {
+			// An empty log after the first term was lost; the members that follow would drop their entries.
+			if (term <= member.last.term || member.following?.term === term || (term > 1 && member.log.length === 0)) {
+				return member.role === 'primary' && member.fencedTerm === term;
+			}
+
+			member.enterTerm(term);
+			member.role = 'primary';
+			member.verifiedTerm = term;
+			this.termLogs.set(term, [...member.log]);
+			this.#append(member);
+			return true;
+		});
+	}
+
+	async follow(_database: string, {memberId}: GroupMember, term: number, primary: GroupMember) {
+		return this.#control(memberId, term, member => {
+			member.enterTerm(term);
+			if (member.role === 'primary' || (member.following && member.following.memberId !== primary.memberId)) {
+				return false;
+			}
+
+			member.following = {term, memberId: primary.memberId};
+			return true;
+		});
+	}
+
+	/** A write that a proxy sends in a term; refused unless the member is that term's primary. */
+	write(memberId: string, term: number): boolean {
+		const member = this.member(memberId);
+		if (member.role !== 'primary' || member.fencedTerm !== term) {
+			return false;
+		}
+
+		const replaced = this.members.filter(({fencedTerm}) => fencedTerm > term).length * 2 > this.members.length;
+		this.#append(member);
+		if (replaced) {
+			this.#replacedWrites.push(member.last);
+		}
+
+		return true;
+	}
+
+	/** A replica takes one entry from its primary, after dropping what does not match. */
+	pull(memberId: string): void {
+		const member = this.member(memberId);
+		const source = member.following && this.member(member.following.memberId);
+		if (!source || member.down || source.down || source.role !== 'primary' || source.fencedTerm !== member.fencedTerm) {
+			return;
+		}
+
+		const common = member.log.findIndex((entry, index) => !isSameEntry(entry, source.log[index]));
+		member.log = common === -1 ? member.log : member.log.slice(0, common);
+		member.log.push(...source.log.slice(member.log.length, member.log.length + 1));
+		member.verifiedTerm = member.fencedTerm;
+		this.#changed(member);
+	}
+
+	/** Lets all primaries write and all replicas catch up. */
+	settle(): void {
+		for (let round = 0; round < 12; round += 1) {
+			for (const {memberId, fencedTerm} of this.members) {
+				if (round < 3) {
+					this.write(memberId, fencedTerm);
+				}
+
+				this.pull(memberId);
+			}
+		}
+	}
+
+	/** What property P2 forbids and yet happened; empty if it holds. */
+	violations(): string[] {
+		this.prompt.deliverAll();
+		this.paused.deliverAll();
+		const acknowledged = [this.prompt, this.paused].flatMap(observer => [...observer.acknowledged]);
+		return [
+			...[...this.primaries].filter(([, ids]) => ids.size > 1).map(([term]) => `term ${term} had two primaries`),
+			...acknowledged.flatMap(([term, index]) => [...this.termLogs]
+				.filter(([later, log]) => later > term && !(this.termLogs.get(term) ?? []).slice(0, index).every((entry, place) => isSameEntry(entry, log[place])))
+				.map(([later]) => `${term}/${index} was acknowledged and is lost in term ${later}`)),
+			...this.#replacedWrites
+				.filter(write => acknowledged.some(([term, index]) => term === write.term && index >= write.index))
+				.map(({term, index}) => `${term}/${index} was acknowledged after a majority refused term ${term}`),
+		];
+	}
+
+	async #control(memberId: string, term: number, effect: (member: FakeMember) => boolean) {
+		const member = this.member(memberId);
+		if (member.down) {
+			return err<never, ControlError>({kind: 'unreachable', message: memberId});
+		}
+
+		const accepted = term >= member.fencedTerm && effect(member);
+		this.#changed(member);
+		return ok({accepted, fencedTerm: member.fencedTerm, last: member.last});
+	}
+
+	#append(member: FakeMember): void {
+		const {fencedTerm: term, memberId} = member;
+		const entry = {term, id: this.#nextId};
+		this.#nextId += 1;
+		member.log = [...member.log, entry];
+		this.termLogs.get(term)!.push(entry);
+		this.primaries.set(term, (this.primaries.get(term) ?? new Set()).add(memberId));
+		this.#changed(member);
+	}
+
+	#changed(member: FakeMember): void {
+		for (const {queues} of [this.prompt, this.paused]) {
+			queues.set(member.memberId, [...queues.get(member.memberId) ?? [], member.status]);
+		}
+	}
+}
+
+export const steps = ['read', 'fencing', 'fence', 'promoting', 'promote', 'follow', 'established'] as const;
+export type Step = typeof steps[number];
+export type Moment = 'before' | 'after';
+
+/** Runs before and after each call of a promoter; `lose` drops the request or the answer. */
+export type Hook = (step: Step, moment: Moment, memberId: string) => Promise<'lose' | undefined>;
+
+const lostAnswer: PlatformError = {kind: 'unavailable', message: 'answer lost', outcomeKnown: false};
+
+/** Runs a promotion whose calls pass through the hook. */
+export const promote = async (group: FakeGroup, hostId: string, hook: Hook, overrides: Partial<PromotionRequest> = {}) => {
+	const around = async <T, E>(step: Step, memberId: string, lost: E, call: () => PromiseLike<Result<T, E>>): Promise<Result<T, E>> => {
+		if (await hook(step, 'before', memberId) === 'lose') {
+			return err(lost);
+		}
+
+		const result = await call();
+		return await hook(step, 'after', memberId) === 'lose' ? err(lost) : result;
+	};
+
+	const unreachable: ControlError = {kind: 'unreachable', message: 'answer lost'};
+	const {platform} = group;
+	let changes = 0;
+	const hooked: Platform = {
+		get: (kind, name) => new ResultAsync(around('read', '', lostAnswer, () => platform.get(kind, name))),
+		put: (kind: ObjectKind, name, value, version) => new ResultAsync(around((value as {phase: Step}).phase, '', lostAnswer, () => platform.put(kind, name, value, version))),
+		list: kind => platform.list(kind),
+		remove: (kind, name, version) => platform.remove(kind, name, version),
+		watch: (kind, revision, waitMs) => platform.watch(kind, revision, waitMs),
+		hosts: () => platform.hosts(),
+	};
+	return new PromotePrimary({
+		platform: hooked,
+		control: {
+			fence: async (database, member, term) => around('fence', member.memberId, unreachable, async () => group.fence(database, member, term)),
+			promote: async (database, member, term) => around('promote', member.memberId, unreachable, async () => group.promote(database, member, term)),
+			follow: async (database, member, term, primary) => around('follow', member.memberId, unreachable, async () => group.follow(database, member, term, primary)),
+		},
+		timers: new ManualTimerService(),
+		hostId,
+		newChangeId() {
+			changes += 1;
+			return `${hostId}-${changes}`;
+		},
+	}).run({
+		database: 'ledger', replaces: 'a', observedTerm: 1, avoid: [], ...overrides,
+	});
+};
+
+export const noFault: Hook = async () => undefined;
+
+/** Gives pending promises their turns. */
+export const turns = async () => {
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+};
+
+/** Short form of how a promotion ended. */
+export const outcomeOf = (result: Awaited<ReturnType<typeof promote>>): string =>
+	result.match(({primary, term}) => `${primary} in term ${term}`, ({kind}) => kind);
