Keep waits for an entry of a later term apart from the tracked term

Cause: `ConfirmationTracker.waitFor` kept only the index. Change: a wait carries its term; it is confirmed only in that term and superseded only by a later one. Conclusion: the order in which an owner learns terms no longer matters to a wait.

--- a/packages/coordination/src/group/domain/confirmation-tracker.ts
+++ b/packages/coordination/src/group/domain/confirmation-tracker.ts
@@ -9,6 +9,7 @@
 export type ConfirmationResult = 'confirmed' | 'superseded' | 'timed-out';
 
 type Waiter = {
+	term: number;
 	index: number;
 	sinceMs: number;
 	settle: (result: ConfirmationResult) => void;
@@ -43,7 +44,7 @@
 		return this.#waiters.length === 0 ? undefined : Math.min(...this.#waiters.map(waiter => waiter.sinceMs));
 	}
 
-	/** Moves to a later established term; what waits for an older term is superseded. */
+	/** Moves to a later established term; what waits for an older term is superseded, for a later one goes on waiting. */
 	setTerm(term: number): void {
 		if (term <= this.#term) {
 			return;
@@ -51,8 +52,8 @@
 
 		this.#term = term;
 		this.#confirmedIndex = 0;
-		const superseded = this.#waiters;
-		this.#waiters = [];
+		const superseded = this.#waiters.filter(waiter => waiter.term < term);
+		this.#waiters = this.#waiters.filter(waiter => waiter.term >= term);
 		for (const waiter of superseded) {
 			waiter.settle('superseded');
 		}
@@ -94,6 +95,7 @@
 				resolve('timed-out');
 			});
 			const waiter: Waiter = {
+				term,
 				index,
 				sinceMs: nowMs,
 				settle(result) {
@@ -117,8 +119,9 @@
 		}
 
 		this.#confirmedIndex = majorityIndex;
-		const reached = this.#waiters.filter(({index}) => index <= majorityIndex);
-		this.#waiters = this.#waiters.filter(({index}) => index > majorityIndex);
+		// An entry of a term that this process does not know yet is not the one that the majority reported here.
+		const reached = this.#waiters.filter(({term, index}) => this.isConfirmed(term, index));
+		this.#waiters = this.#waiters.filter(waiter => !reached.includes(waiter));
 		for (const waiter of reached) {
 			waiter.settle('confirmed');
 		}
