--- /dev/null
+++ b/packages/coordination/test/group/confirmation.test.ts
@@ -0,0 +1,121 @@
+import fc from 'fast-check';
+import {test} from 'tap';
+import {
+	ConfirmationTracker, evaluateEvidence, type FailureEvidence, type MemberStatus, type Observations, PositionSamples,
+} from '../../src/index.js';
+
+const status = (memberId: string, index: number, overrides: Partial<MemberStatus> = {}): MemberStatus => ({
+	memberId, role: 'replica', fencedTerm: 4, verifiedTerm: 4, received: {term: 4, index}, applied: {term: 4, index},
+	primaryContact: true, leaving: false, slots: 5, busySlots: 0, ...overrides,
+});
+
+// Guards against confirmations by members that do not hold the entry in the current term (P2).
+test('P2: which reports confirm an entry of term 4', t => {
+	const cases: Array<[name: string, reports: MemberStatus[], confirmedIndex: number]> = [
+		['one of three', [status('a', 7)], 0],
+		['majority', [status('a', 7), status('b', 5)], 5],
+		['all, one ahead', [status('a', 9), status('b', 5), status('c', 7)], 7],
+		['same member twice', [status('a', 7), status('a', 7)], 0],
+		['fenced at a later term', [status('a', 7), status('b', 7, {fencedTerm: 5})], 0],
+		['restarted without its fence', [status('a', 7), status('b', 7, {fencedTerm: 0})], 0],
+		['log not verified in the term', [status('a', 7), status('b', 7, {verifiedTerm: 3})], 0],
+		['entries of an older term only', [status('a', 7, {received: {term: 3, index: 7}}), status('b', 7, {received: {term: 3, index: 7}})], 0],
+		['last entry of an older term', [status('a', 7), status('b', 7, {received: {term: 3, index: 7}})], 0],
+		['a later report that is lower', [status('a', 7), status('b', 7), status('b', 2)], 7],
+	];
+	for (const [name, reports, confirmedIndex] of cases) {
+		const tracker = new ConfirmationTracker(3);
+		tracker.setTerm(4);
+		for (const report of reports) {
+			tracker.report(report);
+		}
+
+		t.equal(tracker.confirmedIndex, confirmedIndex, name);
+		tracker.setTerm(3);
+		t.equal(tracker.term, 4, `${name}: an older term is ignored`);
+		t.notOk(tracker.isConfirmed(3, 1), `${name}: nothing is confirmed in an older term`);
+	}
+
+	const tracker = new ConfirmationTracker(3);
+	tracker.setTerm(4);
+	tracker.report(status('a', 5));
+	tracker.forget('a');
+	tracker.report(status('b', 5));
+	t.equal(tracker.confirmedIndex, 0, 'a forgotten member does not count');
+	t.end();
+});
+
+// Guards against a waiter that is answered for an entry of another term, or never (P2).
+test('P2: how a wait for entry 6 ends', async t => {
+	const cases: Array<[name: string, term: number, then: (tracker: ConfirmationTracker, expire: () => void) => void, result: string]> = [
+		['confirmed', 4, tracker => {
+			tracker.report(status('a', 6));
+			tracker.report(status('b', 6));
+		}, 'confirmed'],
+	];
+	for (const [name, term, then, result] of cases) {
+		const tracker = new ConfirmationTracker(3);
+		tracker.setTerm(4);
+		let expire: () => void = () => undefined;
+		const waiting = tracker.waitFor({
+			term, index: 6, nowMs: 0, onTimeout(callback) {
+				expire = callback;
+				return () => undefined;
+			},
+		});
+		then(tracker, expire);
+		t.equal(await waiting, result, name);
+		t.equal(tracker.oldestWaitSinceMs, undefined, `${name}: nothing waits any more`);
+	}
+});
+
+// Guards against a promotion on a false alarm, and against none on a real one (design 5.7).
+test('P2: evidence against a primary', t => {
+	const well = {contactLostSinceMs: undefined};
+	const lost = {contactLostSinceMs: 0};
+	const cases: Array<[name: string, observations: Partial<Observations>, evidence: FailureEvidence]> = [
+		['nothing', {}, 'none'],
+		['one silent connection, fresh ones work', {primaryUnreachableSinceMs: undefined, confirmedByOtherDomain: true}, 'none'],
+		['slow endpoint, unreachable for less than the bound', {primaryUnreachableSinceMs: 1, confirmedByOtherDomain: true}, 'none'],
+		['unreachable, no witness', {primaryUnreachableSinceMs: 0}, 'none'],
+		['unreachable with a witness', {primaryUnreachableSinceMs: 0, confirmedByOtherDomain: true}, 'unreachable'],
+		['one replica without contact', {replicas: [lost, well]}, 'none'],
+		['one replica without contact, no witness', {replicas: [lost, well], primaryUnreachableSinceMs: 0}, 'none'],
+		['majority without contact', {replicas: [lost, lost]}, 'isolated'],
+		['majority without contact for less than the bound', {replicas: [lost, {contactLostSinceMs: 1}]}, 'none'],
+		['two of five without contact', {groupSize: 5, replicas: [lost, lost, well, well]}, 'none'],
+		['three of five without contact', {groupSize: 5, replicas: [lost, lost, lost, well]}, 'isolated'],
+		['this proxy is cut off from all', {replicas: [], primaryUnreachableSinceMs: 0, confirmedByOtherDomain: true}, 'none'],
+		['this proxy is cut off from a majority', {replicas: [lost], primaryUnreachableSinceMs: 0, confirmedByOtherDomain: true}, 'none'],
+	];
+	for (const [name, observations, evidence] of cases) {
+		t.equal(evaluateEvidence({
+			nowMs: 1000, detectionMs: 1000, groupSize: 3, primaryUnreachableSinceMs: undefined, confirmedByOtherDomain: false, replicas: [well, well], ...observations,
+		}), evidence, name);
+	}
+
+	t.end();
+});
+
+// Guards against a stated age that is too low: each answer tells a log end from between its request and its arrival.
+test('the age bound is never below the true age', t => {
+	const seed = Number(process.env.DOGWOOD_SEED ?? 20_261_204);
+	t.comment(`DOGWOOD_SEED=${seed}`);
+	const ping = fc.record({askedAtMs: fc.nat(2000), readAfterMs: fc.nat(200), answeredAfterMs: fc.nat(200)});
+	fc.assert(fc.property(fc.array(fc.nat(2000), {maxLength: 60}), fc.array(ping, {maxLength: 300, size: 'max'}), fc.nat(60), (writes, pings, applied) => {
+		const log = writes.sort((a, b) => a - b);
+		const samples = new PositionSamples();
+		const answers = pings.map(({askedAtMs, readAfterMs, answeredAfterMs}) => ({askedAtMs, readAtMs: askedAtMs + readAfterMs, atMs: askedAtMs + readAfterMs + answeredAfterMs}));
+		for (const {askedAtMs, readAtMs} of answers.sort((a, b) => a.atMs - b.atMs)) {
+			samples.add(2, askedAtMs, log.filter(writtenAtMs => writtenAtMs <= readAtMs).length);
+		}
+
+		samples.add(1, 2400, 0);
+		const bound = samples.ageBoundMs(2, applied, 2400);
+		// The replica misses everything from the first entry on that it has not applied.
+		const trueAgeMs = applied < log.length ? 2400 - log[applied]! : 0;
+		return (bound === undefined || bound >= trueAgeMs) && (pings.length === 0 || samples.ageBoundMs(1, applied, 2400) === undefined);
+	}), {seed, numRuns: 2000});
+	t.pass('the property holds');
+	t.end();
+});
--- /dev/null
+++ b/packages/coordination/test/session-token/session-token-codec.test.ts
@@ -0,0 +1,53 @@
+import fc from 'fast-check';
+import {test} from 'tap';
+import {SessionTokenCodec} from '../../src/index.js';
+
+const codec = new SessionTokenCodec(['new key', 'old key']);
+const token = {database: 'ledger', term: 7, index: 123_456};
+const outcomeOf = (text: string, database = 'ledger') => codec.decode(text, database).match(value => value, ({kind}) => kind);
+const characters = 'ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_.';
+
+// Guards against a token that moves a session to a position it never saw (P1).
+test('P1: forged, foreign, rotated and absurd tokens', t => {
+	const absurd = {database: 'ledger', term: Number.MAX_SAFE_INTEGER, index: Number.MAX_SAFE_INTEGER};
+	const cases: Array<[name: string, text: string, outcome: unknown]> = [
+		['own', codec.encode(token), token],
+		['of the previous key', new SessionTokenCodec(['old key']).encode(token), token],
+		['of another key', new SessionTokenCodec(['stolen']).encode(token), 'forged-session-token'],
+		['of a dropped key', new SessionTokenCodec(['oldest key']).encode(token), 'forged-session-token'],
+		['of another database', codec.encode({...token, database: 'tins'}), 'foreign-session-token'],
+		['absurd position, signed', codec.encode(absurd), absurd],
+		['absurd position, not signed', new SessionTokenCodec(['stolen']).encode(absurd), 'forged-session-token'],
+		['signature of another position', codec.encode(token).replace(/\.7\./, '.8.'), 'forged-session-token'],
+		['empty', '', 'malformed-session-token'],
+		['cut short', codec.encode(token).slice(0, -1), 'malformed-session-token'],
+		['line end added', `${codec.encode(token)}\n`, 'malformed-session-token'],
+	];
+	for (const [name, text, outcome] of cases) {
+		t.same(outcomeOf(text), outcome, name);
+	}
+
+	t.throws(() => new SessionTokenCodec([]), 'a codec without a key');
+	t.end();
+});
+
+test('P1: a token with any one character changed is refused', t => {
+	const text = codec.encode(token);
+	const accepted = [...text].flatMap((_, place) => [...characters]
+		.map(character => text.slice(0, place) + character + text.slice(place + 1))
+		.filter(changed => changed !== text && typeof outcomeOf(changed) === 'object'));
+	t.same(accepted, []);
+	t.end();
+});
+
+test('P1: decoding never throws and only gives back what was encoded', t => {
+	const seed = Number(process.env.DOGWOOD_SEED ?? 20_261_204);
+	t.comment(`DOGWOOD_SEED=${seed}`);
+	const part = fc.string({unit: fc.constantFrom(...characters), maxLength: 24});
+	const shaped = fc.tuple(part, part, part, part).map(parts => `1.${parts.join('.')}`);
+	fc.assert(fc.property(fc.oneof(fc.string({unit: 'binary'}), shaped), text => typeof outcomeOf(text) === 'string'), {seed, numRuns: 5000});
+	fc.assert(fc.property(fc.string({minLength: 1}), fc.maxSafeNat(), fc.maxSafeNat(), (database, term, index) =>
+		JSON.stringify(outcomeOf(codec.encode({database, term, index}), database)) === JSON.stringify({database, term, index})), {seed});
+	t.pass('the properties hold');
+	t.end();
+});
