Shorten the promotion tests and restore the table of waits

Change: the five cases are back. FakeGroup builds its first state directly; the member table has one line for each case.

--- a/packages/coordination/test/group/confirmation.test.ts
+++ b/packages/coordination/test/group/confirmation.test.ts
@@ -52,6 +52,24 @@
 			tracker.report(status('a', 6));
 			tracker.report(status('b', 6));
 		}, 'confirmed'],
+		['next term', 4, tracker => {
+			tracker.setTerm(5);
+		}, 'superseded'],
+		['asked in an older term', 3, () => undefined, 'superseded'],
+		['deadline', 4, (_tracker, expire) => {
+			expire();
+		}, 'timed-out'],
+		['asked in a later term that the tracker does not know yet, index reached in term 4', 5, (tracker, expire) => {
+			tracker.report(status('a', 6));
+			tracker.report(status('b', 6));
+			expire();
+		}, 'timed-out'],
+		['asked in a later term, confirmed there', 5, tracker => {
+			tracker.setTerm(5);
+			for (const memberId of ['a', 'b']) {
+				tracker.report(status(memberId, 6, {fencedTerm: 5, verifiedTerm: 5, received: {term: 5, index: 6}}));
+			}
+		}, 'confirmed'],
 	];
 	for (const [name, term, then, result] of cases) {
 		const tracker = new ConfirmationTracker(3);
--- a/packages/coordination/test/group/fake-group.ts
+++ b/packages/coordination/test/group/fake-group.ts
@@ -95,37 +95,20 @@
 	readonly #replacedWrites: Array<{term: number; index: number}> = [];
 	#nextId = 1;
 
-	constructor(readonly memberIds = ['a', 'b', 'c']) {
-		this.members = memberIds.map(memberId => new FakeMember(memberId));
+	/** Primary `a` serves in term 1; the log of the n-th member has `indexes[n]` entries. */
+	constructor(indexes: readonly number[] = [3, 3, 2], readonly memberIds: readonly string[] = ['a', 'b', 'c']) {
 		this.prompt = new Observer(memberIds.length);
 		this.paused = new Observer(memberIds.length);
-	}
-
-	/** Group with primary `a` in term 1 whose log has `indexes[n]` entries at the n-th member. */
-	// eslint-disable-next-line @typescript-eslint/member-ordering
-	static async create(indexes: readonly number[] = [3, 3, 2], memberIds = ['a', 'b', 'c']): Promise<FakeGroup> {
-		const group = new FakeGroup(memberIds);
-		const members = group.groupMembers;
-		const primary = members.find(({memberId}) => memberId === 'a')!;
-		await group.fence('ledger', primary, 1);
-		await group.promote('ledger', primary, 1);
-		await Promise.all(members.filter(member => member !== primary).map(async member => group.follow('ledger', member, 1, primary)));
-		for (let index = 1; index <= Math.max(...indexes); index += 1) {
-			for (const [position, memberId] of memberIds.entries()) {
-				if (memberId !== 'a' && index <= indexes[position]!) {
-					group.pull(memberId);
-				}
-			}
-
-			if (index < indexes[memberIds.indexOf('a')]!) {
-				group.write('a', 1);
-			}
-		}
-
-		await group.platform.put('groups', 'ledger', {
-			database: 'ledger', members, term: 1, primary: 'a', phase: 'established', changeId: 'start',
-		}, 0);
-		return group;
+		const entries = Array.from({length: indexes[memberIds.indexOf('a')]!}, (_, index) => ({term: 1, id: -index}));
+		this.termLogs.set(1, entries);
+		this.primaries.set(1, new Set(['a']));
+		this.members = memberIds.map((memberId, place) => {
+			const role = memberId === 'a' ? {role: 'primary'} : {following: {term: 1, memberId: 'a'}};
+			const member = Object.assign(new FakeMember(memberId), {log: entries.slice(0, indexes[place]), fencedTerm: 1, verifiedTerm: 1}, role) as FakeMember;
+			this.#changed(member);
+			return member;
+		});
+		this.record(1);
 	}
 
 	get groupMembers(): GroupMember[] {
@@ -134,6 +117,14 @@
 		}));
 	}
 
+	/** Writes the group record of an established term with primary `a`. */
+	record(term: number): void {
+		const record = {database: 'ledger', members: this.groupMembers, primary: 'a'};
+		void this.platform.put('groups', 'ledger', {
+			...record, term, phase: 'established', changeId: `start-${term}`,
+		}, term - 1);
+	}
+
 	member(memberId: string): FakeMember {
 		return this.members.find(member => member.memberId === memberId)!;
 	}
@@ -284,14 +275,11 @@
 	const unreachable: ControlError = {kind: 'unreachable', message: 'answer lost'};
 	const {platform} = group;
 	let changes = 0;
-	const hooked: Platform = {
-		get: (kind, name) => new ResultAsync(around('read', '', lostAnswer, () => platform.get(kind, name))),
-		put: (kind: ObjectKind, name, value, version) => new ResultAsync(around((value as {phase: Step}).phase, '', lostAnswer, () => platform.put(kind, name, value, version))),
-		list: kind => platform.list(kind),
-		remove: (kind, name, version) => platform.remove(kind, name, version),
-		watch: (kind, revision, waitMs) => platform.watch(kind, revision, waitMs),
-		hosts: () => platform.hosts(),
-	};
+	const hooked = Object.assign(Object.create(platform) as Platform, {
+		get: (kind: ObjectKind, name: string) => new ResultAsync(around('read', '', lostAnswer, () => platform.get(kind, name))),
+		put: (kind: ObjectKind, name: string, value: unknown, version: number) =>
+			new ResultAsync(around((value as {phase: Step}).phase, '', lostAnswer, () => platform.put(kind, name, value, version))),
+	});
 	return new PromotePrimary({
 		platform: hooked,
 		control: {
--- a/packages/coordination/test/group/promote-primary.test.ts
+++ b/packages/coordination/test/group/promote-primary.test.ts
@@ -27,7 +27,7 @@
 		const outcomes: string[] = [];
 		for (const point of points) {
 			const name = `${point.moment} ${point.step}`;
-			const group = await FakeGroup.create();
+			const group = new FakeGroup();
 			group.prompt.deliverAll();
 			group.member('a').down = cutOff;
 			const {hook, release} = holdAt(point);
@@ -55,7 +55,7 @@
 // Guards against an update at the platform that took effect and is taken for failed, or the reverse.
 test('P2: the request or the answer of a call of the promoter is lost', async t => {
 	const outcomes = await Promise.all(points.map(async point => {
-		const group = await FakeGroup.create();
+		const group = new FakeGroup();
 		const result = await promote(group, 'first', async (step, moment) => step === point.step && moment === point.moment ? 'lose' : undefined);
 		const retry = result.isOk() ? result : await promote(group, 'second', noFault);
 		group.settle();
@@ -65,15 +65,13 @@
 	t.matchSnapshot(outcomes.join('\n'));
 });
 
-type MemberCase = {
-	fault: string;
+type Given = {
 	order?: string[];
 	/** Length of the log of each member in `order`. */
 	indexes?: number[];
 	inject?: (group: FakeGroup) => void;
 	hook?: (group: FakeGroup) => Hook;
 	request?: Partial<PromotionRequest>;
-	outcome: string;
 };
 
 const down = (...ids: string[]) => (group: FakeGroup) => {
@@ -82,71 +80,65 @@
 	}
 };
 
-const loseLog = (id: string) => (group: FakeGroup) => {
-	group.member(id).loseLog();
-};
-
 /** Calls to a frozen member never end. */
 const frozen = (...ids: string[]): Hook => async (_step, _moment, id) => ids.includes(id)
 	? new Promise(() => undefined) // eslint-disable-line no-promise-executor-return
 	: undefined;
 
 // Guards against a candidate that misses acknowledged entries, and against needless or unsafe promotions.
-const memberCases: MemberCase[] = [
-	{fault: 'primary down', inject: down('a'), outcome: 'b in term 2'},
-	{
-		fault: 'primary down, lagging replica answers first', order: ['c', 'b', 'a'], indexes: [2, 3, 3], inject: down('a'), outcome: 'b in term 2',
-	},
-	{fault: 'primary and a replica down', inject: down('a', 'b'), outcome: 'no-majority'},
-	{fault: 'primary frozen', hook: () => frozen('a'), outcome: 'b in term 2'},
-	{fault: 'advanced replica frozen', hook: () => frozen('b'), outcome: 'a in term 2'},
-	{
-		fault: 'primary down, a replica fenced at a later term', inject(group) {
+const memberCases: Array<[fault: string, outcome: string, given: Given]> = [
+	['primary down', 'b in term 2', {inject: down('a')}],
+	['primary down, lagging replica answers first', 'b in term 2', {order: ['c', 'b', 'a'], indexes: [2, 3, 3], inject: down('a')}],
+	['primary and a replica down', 'no-majority', {inject: down('a', 'b')}],
+	['primary frozen', 'b in term 2', {hook: () => frozen('a')}],
+	['advanced replica frozen', 'a in term 2', {hook: () => frozen('b')}],
+	['primary down, a replica fenced at a later term', 'superseded', {
+		inject(group) {
 			down('a')(group);
 			group.member('c').enterTerm(9);
-		}, outcome: 'superseded',
-	},
-	{
-		fault: 'primary down, a replica lost its log', inject(group) {
+		},
+	}],
+	['primary down, a replica lost its log', 'no-majority', {
+		inject(group) {
 			down('a')(group);
-			loseLog('c')(group);
-		}, outcome: 'no-majority',
-	},
-	{fault: 'a replica lost its log', inject: loseLog('b'), outcome: 'a in term 2'},
-	{
-		fault: 'a member that lost its log answers first', order: ['c', 'b', 'a'], inject: loseLog('c'), outcome: 'b in term 2',
-	},
-	{
-		fault: 'longest log ends in an older term', indexes: [9, 3, 3], inject(group) {
+			group.member('c').loseLog();
+		},
+	}],
+	['a replica lost its log', 'a in term 2', {
+		inject(group) {
+			group.member('b').loseLog();
+		},
+	}],
+	['a member that lost its log answers first', 'b in term 2', {
+		order: ['c', 'b', 'a'], inject(group) {
+			group.member('c').loseLog();
+		},
+	}],
+	['longest log ends in an older term', 'b in term 3', {
+		indexes: [9, 3, 3], inject(group) {
 			group.member('b').log.push({term: 2, id: 1000});
 			down('c')(group);
-			void group.platform.put('groups', 'ledger', {
-				database: 'ledger', members: group.groupMembers, term: 2, primary: 'a', phase: 'established', changeId: 'second',
-			}, 1);
-		}, request: {observedTerm: 2}, outcome: 'b in term 3',
-	},
-	{fault: 'primary leaves, replica as advanced', request: {avoid: ['a']}, outcome: 'b in term 2'},
-	{
-		fault: 'primary leaves, replicas behind', indexes: [3, 2, 2], request: {avoid: ['a']}, outcome: 'a in term 2',
-	},
-	{fault: 'primary already replaced', request: {replaces: 'z'}, outcome: 'not-needed'},
-	{fault: 'record of a later established term', request: {observedTerm: 0}, outcome: 'not-needed'},
-	{
-		fault: 'candidate loses its log before it is promoted', inject: down('a'), hook: group => async (step, moment) => {
+			group.record(2);
+		}, request: {observedTerm: 2},
+	}],
+	['primary leaves, replica as advanced', 'b in term 2', {request: {avoid: ['a']}}],
+	['primary leaves, replicas behind', 'a in term 2', {indexes: [3, 2, 2], request: {avoid: ['a']}}],
+	['primary already replaced', 'not-needed', {request: {replaces: 'z'}}],
+	['record of a later established term', 'not-needed', {request: {observedTerm: 0}}],
+	['candidate loses its log before it is promoted', 'target-refused', {
+		inject: down('a'), hook: group => async (step, moment) => {
 			if (step === 'promoting' && moment === 'after') {
-				loseLog('b')(group);
+				group.member('b').loseLog();
 			}
 
 			return undefined;
-		}, outcome: 'target-refused',
-	},
+		},
+	}],
 ];
 
-for (const {
-	fault, order = ['a', 'b', 'c'], indexes, inject, hook, request, outcome,
-} of memberCases) {
+for (const [fault, outcome, {order, indexes, inject, hook, request}] of memberCases) {
 	test(`P2: ${fault}: ${outcome}`, async t => {
-		const group = await FakeGroup.create(indexes, order);
+		const group = new FakeGroup(indexes, order);
 		group.prompt.deliverAll();
 		inject?.(group);
 		t.equal(outcomeOf(await promote(group, 'first', hook?.(group) ?? noFault, request)), outcome);
@@ -156,7 +148,7 @@
 }
 
 test('P2: no promotion without the platform, and none from a damaged record', async t => {
-	const group = await FakeGroup.create();
+	const group = new FakeGroup();
 	await group.platform.put('groups', 'ledger', {database: 'ledger'}, 1);
 	t.equal(outcomeOf(await promote(group, 'first', noFault)), 'platform-unavailable');
 	await group.platform.remove('groups', 'ledger', 2);
@@ -222,7 +214,7 @@
 		t.comment(`DOGWOOD_SEED=${seed} DOGWOOD_RUNS=${numRuns}`);
 		let later = 0;
 		await fc.assert(fc.asyncProperty(fc.array(fc.nat(32 * 60), {minLength: 100, maxLength: 300, size: 'max'}), async choices => {
-			const group = await FakeGroup.create(memberIds.map((_, index) => index < 2 ? 3 : 2), memberIds);
+			const group = new FakeGroup(memberIds.map((_, index) => index < 2 ? 3 : 2), memberIds);
 			await interleave(group, choices);
 			const violations = group.violations();
 			later += [...group.prompt.acknowledged].some(([term, index]) => term > 1 && index > 0) ? 1 : 0;
