Close a monitor that opens after its owner was stopped

Cause: MemberMonitor followed a stream that opened after stop(), and pinged it until it went silent. A replaced owner thus kept a connection that no budget counts.

Change: a stream that opens after the stop is closed.

Before: owner/connections.test.ts, 'a monitor that opens after the stop is closed', 0 of 3 closed. After: 3 of 3.

--- a/packages/proxy/src/owner/core/member-monitor.ts
+++ b/packages/proxy/src/owner/core/member-monitor.ts
@@ -34,12 +34,14 @@
 	async run(): Promise<void> {
 		while (!this.#stopped) {
 			const monitor = await this.#open();
-			if (!monitor) {
+			if (this.#stopped) {
+				// Stopped while it opened; the instance would count the connection for as long as this process runs.
+				monitor?.close();
+			} else if (monitor) {
+				await this.#follow(monitor);
+			} else {
 				await this.options.timers.sleep(reconnectDelayMs);
-				continue;
 			}
-
-			await this.#follow(monitor);
 		}
 	}
 
