Report a missing token key beside other mistakes and keep secrets out of messages

Cause: the check for a token key ran only when all else was right, so a file without one was reported in two goes; a mistake of the whole file (an unknown key) printed the whole settings with the keys of session tokens, and a short key was printed itself.

Change: the check always runs; the values of tokenKeys and tokenKey are not shown, and a mistake of the whole file names only its keys.

--- a/packages/proxy/src/settings/definitions.ts
+++ b/packages/proxy/src/settings/definitions.ts
@@ -56,7 +56,12 @@
 	drainMs: z.int().min(0).max(600_000).default(10_000),
 	/** Level of the log. Default: info. */
 	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
-}).refine(value => value.tokenKeys ?? value.tokenKey, {path: ['tokenKeys'], error: 'expected at least one key of 16 characters or more'});
+}).refine(value => value.tokenKeys ?? value.tokenKey, {
+	path: ['tokenKeys'],
+	error: 'expected at least one key of 16 characters or more',
+	// Also checked beside other mistakes, so that all are reported at once.
+	when: ({value}) => typeof value === 'object' && value !== null,
+});
 
 export type ProxySettings = z.infer<typeof proxySettingsSchema>;
 
--- a/packages/proxy/src/settings/load-settings.ts
+++ b/packages/proxy/src/settings/load-settings.ts
@@ -23,12 +23,25 @@
 		: err(failure(parsed.error.issues.map(issue => describe(issue, value))));
 }
 
+/** Settings whose values are secret and stay out of messages. */
+const secretKeys = new Set<PropertyKey>(['tokenKeys', 'tokenKey']);
+
 function describe({path, message}: z.core.$ZodIssue, root: unknown): string {
+	// A mistake of the whole file names its keys itself; showing the file would show its secrets.
+	return path.length === 0
+		? `(root): ${message}`
+		: `${path.join('.')}: ${message} (seen: ${describeSeen(path, root)})`;
+}
+
+function describeSeen(path: PropertyKey[], root: unknown): string {
 	let seen: unknown = root;
 	for (const key of path) {
 		seen = typeof seen === 'object' && seen !== null ? (seen as Record<PropertyKey, unknown>)[key] : undefined;
 	}
 
-	const where = path.length === 0 ? '(root)' : path.join('.');
-	return `${where}: ${message} (seen: ${seen === undefined ? 'nothing' : JSON.stringify(seen)})`;
+	if (seen === undefined) {
+		return 'nothing';
+	}
+
+	return secretKeys.has(path[0]!) ? 'a value that is not shown' : JSON.stringify(seen);
 }
