Let a shutdown send the last answers and count forwarded transactions

Cause: a request left the count of those in flight when its answer existed, and the servers were destroyed before the answer was sent; the last answers of a shutdown were cut, for callers and for other proxies.

Change: PeerService counts transactions; a shutdown ends the Forward streams after their answers, closes both servers gracefully and waits until their connections have ended, at most 1 s, so that a caller which never ends its side holds up no more.

--- a/packages/proxy/src/caller/core/caller-service.ts
+++ b/packages/proxy/src/caller/core/caller-service.ts
@@ -4,7 +4,7 @@
 	CallerService, type ExecuteRequest, type ExecuteResponse, type TransactRequest, type TransactResponse,
 } from '@dogwoodthread/protocol';
 import {notRun} from '../../outcome/index.js';
-import {takeFirst} from '../../peer/index.js';
+import {takeFirst, trackIteration} from '../../peer/index.js';
 import {type RequestRouter} from './request-router.js';
 import {validateBegin, validateRequest} from './validate-request.js';
 
@@ -29,7 +29,7 @@
 	register(router: ConnectRouter): void {
 		router.service(CallerService, {
 			execute: async request => this.options.track(this.#execute(request)),
-			transact: steps => this.#transact(steps),
+			transact: steps => trackIteration(this.#transact(steps), this.options.track),
 		});
 	}
 
@@ -44,31 +44,18 @@
 	}
 
 	async * #transact(steps: AsyncIterable<TransactRequest>): AsyncIterable<TransactResponse> {
-		const finished = new PromiseWithResolver();
-		void this.options.track(finished.promise);
-		try {
-			const first = await takeFirst(steps);
-			const step = first?.value.step;
-			const refusal = step?.case === 'begin'
-				? validateBegin(step.value) ?? (this.options.isDraining() ? notRun('draining', 'The transaction did not begin.', 1) : undefined)
-				: notRun('invalid-request', 'The first step of a transaction must be begin.', 0);
-			if (refusal !== undefined || !first || step?.case !== 'begin') {
-				yield {
-					$typeName: 'dogwoodthread.v1.TransactResponse', stepId: 0n, response: refusal, ended: true,
-				};
-				return;
-			}
-
-			yield * this.options.router.transact(step.value.database, first.all);
-		} finally {
-			finished.resolve();
+		const first = await takeFirst(steps);
+		const step = first?.value.step;
+		const refusal = step?.case === 'begin'
+			? validateBegin(step.value) ?? (this.options.isDraining() ? notRun('draining', 'The transaction did not begin.', 1) : undefined)
+			: notRun('invalid-request', 'The first step of a transaction must be begin.', 0);
+		if (refusal !== undefined || !first || step?.case !== 'begin') {
+			yield {
+				$typeName: 'dogwoodthread.v1.TransactResponse', stepId: 0n, response: refusal, ended: true,
+			};
+			return;
 		}
-	}
-}
 
-class PromiseWithResolver {
-	resolve!: () => void;
-	readonly promise = new Promise<void>(resolve => {
-		this.resolve = resolve;
-	});
+		yield * this.options.router.transact(step.value.database, first.all);
+	}
 }
--- a/packages/proxy/src/daemon/connect-server.ts
+++ b/packages/proxy/src/daemon/connect-server.ts
@@ -47,6 +47,11 @@
 		this.sendGoaway();
 	}
 
+	/** Resolves when every connection has ended, and with it whatever was still to be sent. */
+	async whenClosed(): Promise<void> {
+		await Promise.all([...this.#sessions].map(async session => once(session, 'close')));
+	}
+
 	/** Ends whatever is left. */
 	destroy(): void {
 		this.#server.close();
--- a/packages/proxy/src/daemon/proxy-daemon.ts
+++ b/packages/proxy/src/daemon/proxy-daemon.ts
@@ -23,6 +23,9 @@
 /** Time for gossip to find the fleet before the databases of the settings are looked up. */
 const settleMs = 1000;
 
+/** Longest time for answers that were given to be sent at shutdown; a caller that does not read holds up no more. */
+const sendMs = 1000;
+
 /** The proxy process: starts the parts and stops them without cutting requests. */
 export class ProxyDaemon {
 	readonly #timers = new SystemTimerService();
@@ -32,6 +35,7 @@
 	#admin!: Server;
 	#transport!: UdpDatagramTransport;
 	#parts!: ProxyParts;
+	#peerHandler!: PeerServiceHandler;
 	#ready = false;
 	#draining = false;
 
@@ -72,10 +76,18 @@
 		this.#callerServer.stopAccepting();
 		await Promise.race([this.#inFlight.whenIdle(), this.#timers.sleep(settings.drainMs)]);
 		this.#draining = true;
+		await this.#sendAnswers();
 		logger.info({event: 'shutdown-finished', inFlight: this.#inFlight.count});
 		await this.#close();
 	}
 
+	/** What is no longer in flight has its answer, but the answer may still be on its way to the socket. */
+	async #sendAnswers(): Promise<void> {
+		this.#peerHandler.drain();
+		this.#peerServer.stopAccepting();
+		await Promise.race([Promise.all([this.#callerServer.whenClosed(), this.#peerServer.whenClosed()]), this.#timers.sleep(sendMs)]);
+	}
+
 	async #close(): Promise<void> {
 		const {owners, keeper, hostList, membership, peers} = this.#parts;
 		keeper.stop();
@@ -92,7 +104,7 @@
 
 	#servePeers(): void {
 		const {directory, holderCheck, owners, membership, connector} = this.#parts;
-		const handler = new PeerServiceHandler({
+		this.#peerHandler = new PeerServiceHandler({
 			directory,
 			holderCheck,
 			owners,
@@ -103,7 +115,7 @@
 			track: this.#inFlight.track,
 		});
 		this.#peerServer.serve(router => {
-			handler.register(router);
+			this.#peerHandler.register(router);
 		});
 	}
 
--- a/packages/proxy/src/peer/core/peer-service.ts
+++ b/packages/proxy/src/peer/core/peer-service.ts
@@ -26,13 +26,24 @@
 
 /** What this proxy does for its peers. */
 export class PeerServiceHandler {
+	readonly #streams = new Set<AnswerBatcher>();
+	#draining = false;
+
 	constructor(private readonly options: PeerServiceOptions) {}
 
+	/** Runs no more requests, and ends the streams after the answers that were given. */
+	drain(): void {
+		this.#draining = true;
+		for (const stream of this.#streams) {
+			stream.end();
+		}
+	}
+
 	register(router: ConnectRouter): void {
 		const {directory, membership, document} = this.options;
 		router.service(PeerService, {
 			forward: requests => this.#forward(requests),
-			transact: steps => this.#transact(steps),
+			transact: steps => trackIteration(this.#transact(steps), this.options.track),
 			observeEndpoint: async question => this.#observe(question),
 			getDocument: ({knownVersion}) => ({
 				version: BigInt(document.version),
@@ -64,11 +75,16 @@
 	async * #forward(batches: AsyncIterable<{requests: ForwardRequest[]}>) {
 		const answers = new AsyncQueue<{responses: ResponseInit[]}>();
 		const batcher = new AnswerBatcher(answers);
-		void this.#readRequests(batches, batcher, answers);
-		yield * answers;
+		this.#streams.add(batcher);
+		void this.#readRequests(batches, batcher);
+		try {
+			yield * answers;
+		} finally {
+			this.#streams.delete(batcher);
+		}
 	}
 
-	async #readRequests(batches: AsyncIterable<{requests: ForwardRequest[]}>, batcher: AnswerBatcher, answers: AsyncQueue<{responses: ResponseInit[]}>): Promise<void> {
+	async #readRequests(batches: AsyncIterable<{requests: ForwardRequest[]}>, batcher: AnswerBatcher): Promise<void> {
 		try {
 			for await (const {requests} of batches) {
 				for (const request of requests) {
@@ -79,7 +95,7 @@
 			// The peer has gone; what it asked for still runs to its end, its answers go nowhere.
 		}
 
-		answers.close();
+		batcher.end();
 	}
 
 	async #answer({requestId, request}: ForwardRequest, batcher: AnswerBatcher): Promise<void> {
@@ -90,7 +106,7 @@
 		}
 
 		const owner = owners.get(request.database);
-		if (!owner?.isActing) {
+		if (!owner?.isActing || this.#draining) {
 			// The sender may know a newer record, or this proxy may not have heard of its seat yet.
 			void (owner ? holderCheck.check(request.database) : directory.refresh(request.database));
 			batcher.add({requestId, notActingOwner: true});
@@ -147,6 +163,12 @@
 		}
 	}
 
+	/** Ends the stream after what was added. */
+	end(): void {
+		this.#flush();
+		this.answers.close();
+	}
+
 	#flush(): void {
 		if (this.#batch.length > 0) {
 			this.answers.push({responses: this.#batch});
@@ -155,6 +177,19 @@
 	}
 }
 
+/** Counts an iteration as one piece of work, from its first item to its end. */
+export async function * trackIteration<T>(items: AsyncIterable<T>, track: <R>(work: Promise<R>) => Promise<R>): AsyncIterable<T> {
+	let end!: () => void;
+	void track(new Promise<void>(resolve => {
+		end = resolve;
+	}));
+	try {
+		yield * items;
+	} finally {
+		end();
+	}
+}
+
 /** Reads the first item without losing it for the one who iterates over all. */
 export async function takeFirst<T>(items: AsyncIterable<T>): Promise<{value: T; all: AsyncIterable<T>} | undefined> {
 	const iterator = items[Symbol.asyncIterator]();
--- a/packages/proxy/src/peer/index.ts
+++ b/packages/proxy/src/peer/index.ts
@@ -3,4 +3,6 @@
 	ForwardResult, PeerLinks, PeerOwnership, PeerQueries,
 } from './definitions.js';
 export {PeerClients} from './core/peer-clients.js';
-export {PeerServiceHandler, takeFirst, type PeerServiceOptions} from './core/peer-service.js';
+export {
+	PeerServiceHandler, takeFirst, trackIteration, type PeerServiceOptions,
+} from './core/peer-service.js';
