Answer the waiting step of a transaction when its owner is lost

Cause: when the stream to the acting proxy was cut, the caller's stream ended with an error, so a begin, a step or a commit had none of the three outcomes.

Change: RequestRouter answers the step that waits: begin and other steps did not run (without a commit the owner rolls back), a commit is unknown with its request key.

Before: the three cases in caller/request-router.test.ts failed.

--- a/packages/proxy/src/caller/core/request-router.ts
+++ b/packages/proxy/src/caller/core/request-router.ts
@@ -68,7 +68,7 @@
 
 	/** Runs a transaction at the proxy that acts; `database` is the one that its first step names. */
 	async * transact(database: string, steps: AsyncIterable<TransactRequest>): AsyncIterable<TransactResponse> {
-		const {directory, links, owners, random} = this.options;
+		const {directory, owners, random} = this.options;
 		const owner = await directory.findActing(database);
 		if (owner.isErr()) {
 			yield {
@@ -79,7 +79,24 @@
 		}
 
 		const local = this.#isLocal(owner.value) ? owners.get(database) : undefined;
-		yield * local ? local.transact(steps) : links.transact(owner.value.seat.peerAddress, steps);
+		yield * local ? local.transact(steps) : this.#transactAt(owner.value.seat.peerAddress, steps);
+	}
+
+	/** Runs a transaction at a peer. When the stream to it is cut, the step that waits gets its outcome here. */
+	async * #transactAt(peerAddress: string, steps: AsyncIterable<TransactRequest>): AsyncIterable<TransactResponse> {
+		let waiting: TransactRequest['step'] = {case: undefined};
+		async function * noted() {
+			for await (const request of steps) {
+				waiting = request.step;
+				yield request;
+			}
+		}
+
+		try {
+			yield * this.options.links.transact(peerAddress, noted());
+		} catch {
+			yield lostStep(waiting);
+		}
 	}
 
 	async #send({seat}: ActingOwner, request: ExecuteRequest): Promise<ForwardResult> {
@@ -111,3 +128,23 @@
 		}
 	}
 }
+
+/** Final answer to a step of a transaction whose owner was lost. Only a commit may have run: without one the owner rolls back. */
+const lostStep = (step: TransactRequest['step']): TransactResponse => {
+	const answer = {$typeName: 'dogwoodthread.v1.TransactResponse' as const, ended: true};
+	switch (step.case) {
+		case 'commit': {
+			return {...answer, stepId: step.value.stepId, response: unknown('owner-lost', step.value.requestKey)};
+		}
+
+		case 'execute':
+		case 'rollback': {
+			return {...answer, stepId: step.value.stepId, response: notRun('transaction-ended', 'The acting proxy was lost and the transaction was rolled back.', briefRetryAfterMs)};
+		}
+
+		case 'begin':
+		case undefined: {
+			return {...answer, stepId: 0n, response: notRun('owner-unreachable', 'The transaction did not begin.', briefRetryAfterMs)};
+		}
+	}
+};
