--- a/packages/proxy/test/caller/request-router.test.ts
+++ b/packages/proxy/test/caller/request-router.test.ts
@@ -1,6 +1,7 @@
 import {
 	ManualTimerService, type MembershipView, RetryBudget,
 } from '@dogwoodthread/coordination';
+import {type ExecuteResponse, type TransactRequest} from '@dogwoodthread/protocol';
 import {err, ok} from 'neverthrow';
 import {test} from 'tap';
 import {RequestRouter} from '../../src/caller/index.js';
@@ -8,7 +9,7 @@
 import {done, notRun, unknown} from '../../src/outcome/index.js';
 import {type ForwardResult, type PeerLinks} from '../../src/peer/index.js';
 import {
-	hold, type Outcome, read, toOutcome,
+	hold, type Outcome, read, TestTransaction, toOutcome,
 } from '../fixtures/requests.js';
 
 const answered = (response: Parameters<typeof toOutcome>[0]): ForwardResult => ({kind: 'answered', response});
@@ -62,32 +63,60 @@
 	},
 ];
 
+const createRouter = (timers: ManualTimerService, links: unknown, isOwnerKnown: () => boolean): RequestRouter => {
+	const seat = {
+		rank: 0, generation: 1, hostId: 'owner', startedUnixMs: 0, peerAddress: '127.0.0.1:1', failureDomain: 'fd1',
+	};
+	const directory: unknown = {
+		findActing: async () => isOwnerKnown() ? ok({seat}) : err({kind: 'no-acting-owner', message: 'No owner is live.'}),
+		passOver() {/* not looked at */},
+		async refresh() {/* not looked at */},
+	};
+	const membership: unknown = {self: () => ({hostId: 'entry'})};
+	return new RequestRouter({
+		directory: directory as DatabaseDirectory,
+		owners: undefined as never,
+		links: links as PeerLinks,
+		membership: membership as MembershipView,
+		retryBudget: new RetryBudget({ratio: 0.1, burst: 10}),
+		timers,
+		random: () => 0,
+	});
+};
+
 for (const {name, write, results, ownerKnown = 10, expected, sent} of cases) {
 	test(`router: ${name}`, async t => {
 		const timers = new ManualTimerService();
 		let forwards = 0;
-		const seat = {
-			rank: 0, generation: 1, hostId: 'owner', startedUnixMs: 0, peerAddress: '127.0.0.1:1', failureDomain: 'fd1',
-		};
-		const directory: unknown = {
-			findActing: async () => forwards < ownerKnown ? ok({seat}) : err({kind: 'no-acting-owner', message: 'No owner is live.'}),
-			passOver() {/* not looked at */},
-			async refresh() {/* not looked at */},
-		};
-		const links: unknown = {forward: async () => results[forwards++]!};
-		const membership: unknown = {self: () => ({hostId: 'entry'})};
-		const router = new RequestRouter({
-			directory: directory as DatabaseDirectory,
-			owners: undefined as never,
-			links: links as PeerLinks,
-			membership: membership as MembershipView,
-			retryBudget: new RetryBudget({ratio: 0.1, burst: 10}),
-			timers,
-			random: () => 0,
-		});
+		const router = createRouter(timers, {forward: async () => results[forwards++]!}, () => forwards < ownerKnown);
 		const answer = router.execute(write ? hold('a') : read('get_booking', ['a']));
 		await timers.advanceAsync(200, 5);
 		t.match(toOutcome(await answer), expected);
 		t.equal(forwards, sent);
 	});
 }
+
+// Guards against a transaction that ends without an outcome when the proxy that runs it is lost (P3, P5).
+for (const [step, expected] of Object.entries({
+	begin: {kind: 'notRun', code: 'owner-unreachable', ended: true},
+	execute: {kind: 'notRun', code: 'transaction-ended', ended: true},
+	commit: {kind: 'unknown', code: 'owner-lost', ended: true},
+})) {
+	test(`router: the owner is lost at ${step} of a transaction`, async t => {
+		const links = {
+			async * transact(_address: string, steps: AsyncIterable<TransactRequest>) {
+				for await (const request of steps) {
+					if (request.step.case === step) {
+						throw new Error('The stream was cut.');
+					}
+
+					yield {response: (doneAnswer as {response: ExecuteResponse}).response, ended: false};
+				}
+			},
+		};
+		const router = createRouter(new ManualTimerService(), links, () => true);
+		const transaction = new TestTransaction(steps => router.transact('ledger', steps));
+		const answers = [await transaction.begin(), await transaction.hold('a'), await transaction.commit('key')];
+		t.match(answers.find(answer => answer?.ended), expected);
+	});
+}
--- a/packages/proxy/test/owner/writes.test.ts
+++ b/packages/proxy/test/owner/writes.test.ts
@@ -3,7 +3,7 @@
 import {completed, FakeGroup} from '../fixtures/fake-group.js';
 import {type OwnerOverrides, seatOf, TestGroup} from '../fixtures/group.js';
 import {
-	hold, type Outcome, pay, toOutcome, until,
+	database, hold, type Outcome, pay, tokens, toOutcome, until,
 } from '../fixtures/requests.js';
 
 type Owner = Awaited<ReturnType<TestGroup['own']>>;
@@ -80,6 +80,15 @@
 	});
 }
 
+// Guards against a session that moves backwards after a restore of the database (P1).
+test('a write does not take the session back behind its token', async t => {
+	const group = new FakeGroup();
+	const owner = await group.own(1, 10);
+	group.answer = async () => completed(1, 10);
+	const token = tokens.encode({database, term: 1, index: 99});
+	t.match(toOutcome(await owner.execute(hold('a', {token}), group.timers.nowMs() + 1000)), {kind: 'done', token});
+});
+
 type RefusalCase = {
 	name: string; overrides?: OwnerOverrides; strike?: (group: TestGroup, owner: Owner) => Promise<void>; request?: ExecuteRequest; expected: Partial<Outcome>;
 };
