--- /dev/null
+++ b/packages/coordination/test/examples/embedded-fleet.test.ts
@@ -0,0 +1,14 @@
+import {execFile} from 'node:child_process';
+import {fileURLToPath} from 'node:url';
+import {promisify} from 'node:util';
+import {test} from 'tap';
+
+const program = fileURLToPath(new URL('../../../../examples/embedded-fleet/main.js', import.meta.url));
+
+// Guards against an example that no longer runs with the library's present interface. `execFile` rejects
+// on any exit code but 0. Times depend on the defaults of gossip and are left out.
+test('the example of an embedded fleet', async t => {
+	const {stdout, stderr} = await promisify(execFile)(process.execPath, [program], {timeout: 60_000});
+	t.equal(stderr, '');
+	t.matchSnapshot(stdout.replaceAll(/\d+ ms/g, 'N ms'));
+});
--- a/xo.config.js
+++ b/xo.config.js
@@ -24,6 +24,13 @@
 			'@typescript-eslint/consistent-type-exports': 'off',
 		},
 	},
+	{
+		files: ['examples/**/*.js'],
+		rules: {
+			// Steps of an example run in order.
+			'no-await-in-loop': 'off',
+		},
+	},
 	{
 		files: ['packages/*/test/**/*.ts'],
 		rules: {
