Generate the settings reference and report all mistakes in settings at once

Cause: the settings were described in doc comments only. A missing token key was not reported while other fields were wrong, an unknown key was shown with the whole file, token keys included, and no test covered mistakes.

The token key check runs beside the others, unknown keys get a line each with their path, and values of token keys are hidden. Defaults and bounds are unchanged.

Conclusion: the page cannot differ from what the program accepts.

--- a/packages/proxy/src/bin/dogwood-proxy.ts
+++ b/packages/proxy/src/bin/dogwood-proxy.ts
@@ -6,7 +6,9 @@
 import {cac} from 'cac';
 import {destination, pino} from 'pino';
 import {ProxyDaemon} from '../daemon/index.js';
-import {loadSettings, proxySettingsSchema, type ProxySettings} from '../settings/index.js';
+import {
+	loadSettings, proxySettingsSchema, type ProxySettings, settingsReference,
+} from '../settings/index.js';
 
 const exitFailed = 1;
 const exitUsage = 2;
@@ -38,6 +40,7 @@
 async function main(): Promise<void> {
 	const cli = cac('dogwood-proxy');
 	cli.option('--settings <file>', 'Settings in YAML');
+	cli.option('--settings-reference', 'Print the reference of the settings in Markdown');
 	cli.help();
 	cli.version('0.1.0');
 	const {options} = cli.parse();
@@ -45,6 +48,11 @@
 		return;
 	}
 
+	if (options.settingsReference === true) {
+		process.stdout.write(settingsReference());
+		return;
+	}
+
 	const settings = await readSettings(options.settings as string | undefined);
 	const logger = pino({level: settings.logLevel, base: {hostId: settings.hostId}}, destination(stderr));
 	const daemon = new ProxyDaemon(settings, logger);
--- a/packages/proxy/src/settings/definitions.ts
+++ b/packages/proxy/src/settings/definitions.ts
@@ -1,62 +1,52 @@
 import {type TypedError} from '@dogwoodthread/coordination';
 import {z} from 'zod';
 
-const port = z.int().min(0).max(65_535).default(0);
+const port = (description: string) => z.int().min(0).max(65_535).default(0).meta({description: `${description} 0 takes a free one.`});
+
+const durationMs = (minMs: number, maxMs: number, defaultMs: number, description: string) =>
+	z.int().min(minMs).max(maxMs).default(defaultMs).meta({description: `${description}, in ms.`});
+
+const isMapping = (value: unknown): value is Record<string, unknown> => typeof value === 'object' && value !== null && !Array.isArray(value);
 
 /**
- * Settings of `dogwood-proxy`. Unknown keys are refused. Ports of 0 are chosen by the system and
- * printed in the ready line.
+ * Settings of `dogwood-proxy`. Unknown keys are refused. The descriptions, with defaults and bounds, make
+ * `docs/settings-reference.md`.
  */
 export const proxySettingsSchema = z.strictObject({
-	/** Name of this host, unique in the fleet. Required. */
-	hostId: z.string().min(1),
-	/** Failure domain of this host. Required. */
-	failureDomain: z.string().min(1),
-	/** Region of this host. Default: `default`. */
-	region: z.string().min(1).default('default'),
-	/** IP address to listen on and to announce to peers. Default: 127.0.0.1. */
-	host: z.string().min(1).default('127.0.0.1'),
-	/** TCP port for callers. Default: 0. */
-	callerPort: port,
-	/** TCP port for other proxies. Default: 0. */
-	peerPort: port,
-	/** UDP port for gossip. Default: 0. */
-	gossipPort: port,
-	/** TCP port for metrics, health and status. Default: 0. */
-	adminPort: port,
-	/** Base URL of the platform's object service. Required. */
-	platformUrl: z.url(),
-	/** Time after which a call of the platform counts as failed, in ms. Default: 2,000. */
-	platformTimeoutMs: z.int().min(10).max(60_000).default(2000),
-	/** Gossip addresses (`ip:port`) of other proxies to join. Default: none. */
-	seeds: z.array(z.string().regex(/^\S+:\d+$/, 'expected ip:port')).default([]),
-	/** Databases to prepare at start, before the first request asks for them. Default: none. */
-	databases: z.array(z.string().min(1)).default([]),
-	/** Keys of session tokens, at least 16 characters each; the first signs, all verify. Required. */
-	tokenKeys: z.array(z.string().min(16)).min(1).optional(),
-	/** Single key of session tokens; use `tokenKeys` to rotate. */
-	tokenKey: z.string().min(8).optional(),
-	/** Admission policy: `fair`, or `fifo` as a baseline for measurements. Default: fair. */
-	policy: z.enum(['fair', 'fifo']).default('fair'),
-	/** How long evidence against a primary must last before it is replaced, in ms. Default: 1,000. */
-	detectionMs: z.int().min(100).max(60_000).default(1000),
-	/** Time to wait for a connection to an instance, in ms. Default: 500. */
-	connectTimeoutMs: z.int().min(20).max(30_000).default(500),
-	/** Time without an answer after which a connection for short work counts as silent, in ms. Default: 1,500. */
-	progressTimeoutMs: z.int().min(50).max(600_000).default(1500),
-	/** Age of an unconfirmed write at which new writes are refused, in ms. Default: 1,000. */
-	unconfirmedBoundMs: z.int().min(50).max(60_000).default(1000),
-	/** Longest a transaction may stay open, in ms. Default: 30,000. */
-	transactionTimeoutMs: z.int().min(100).max(3_600_000).default(30_000),
-	/** Longest a transaction may wait for its next step, in ms. Default: 5,000. */
-	transactionIdleMs: z.int().min(50).max(3_600_000).default(5000),
-	/** Time between not being ready and refusing new requests at shutdown, in ms. Default: 1,000. */
-	shutdownNoticeMs: z.int().min(0).max(60_000).default(1000),
-	/** Longest time for requests in flight to finish at shutdown, in ms. Default: 10,000. */
-	drainMs: z.int().min(0).max(600_000).default(10_000),
-	/** Level of the log. Default: info. */
-	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
-}).refine(value => value.tokenKeys ?? value.tokenKey, {path: ['tokenKeys'], error: 'expected at least one key of 16 characters or more'});
+	hostId: z.string().min(1).meta({description: 'Name of this host, unique in the fleet.'}),
+	failureDomain: z.string().min(1).meta({description: 'Failure domain of this host.'}),
+	region: z.string().min(1).default('default').meta({description: 'Region of this host.'}),
+	host: z.string().min(1).default('127.0.0.1').meta({description: 'IP address to listen on and to announce to peers.'}),
+	callerPort: port('TCP port for callers.'),
+	peerPort: port('TCP port for other proxies.'),
+	gossipPort: port('UDP port for gossip.'),
+	adminPort: port('TCP port for metrics, health and status.'),
+	platformUrl: z.url({error: 'expected a URL such as http://10.0.0.1:8400'}).meta({description: 'Base URL of the platform\'s object service.'}),
+	platformTimeoutMs: durationMs(10, 60_000, 2000, 'Time after which a call of the platform counts as failed'),
+	seeds: z.array(z.string().regex(/^\S+:\d+$/, 'expected ip:port')).default([])
+		.meta({description: 'Gossip addresses (`ip:port`) of other proxies to join.'}),
+	databases: z.array(z.string().min(1)).default([])
+		.meta({description: 'Databases to prepare at start, before the first request asks for them.'}),
+	tokenKeys: z.array(z.string().min(16)).min(1).optional()
+		.meta({description: 'Keys of session tokens; the first signs, all verify. The same keys on every proxy. Required unless `tokenKey` is given.'}),
+	tokenKey: z.string().min(8).optional()
+		.meta({description: 'Single key of session tokens; use `tokenKeys` to rotate. Ignored if `tokenKeys` is given.'}),
+	policy: z.enum(['fair', 'fifo']).default('fair').meta({description: 'Admission policy; `fifo` is a baseline for measurements.'}),
+	detectionMs: durationMs(100, 60_000, 1000, 'How long evidence against a primary must last before it is replaced, while no governing document is in force'),
+	connectTimeoutMs: durationMs(20, 30_000, 500, 'Time to wait for a connection to an instance'),
+	progressTimeoutMs: durationMs(50, 600_000, 1500, 'Time without an answer after which a connection for short work counts as silent'),
+	unconfirmedBoundMs: durationMs(50, 60_000, 1000, 'Age of an unconfirmed write at which new writes are refused, while no governing document is in force'),
+	transactionTimeoutMs: durationMs(100, 3_600_000, 30_000, 'Longest a transaction may stay open'),
+	transactionIdleMs: durationMs(50, 3_600_000, 5000, 'Longest a transaction may wait for its next step'),
+	shutdownNoticeMs: durationMs(0, 60_000, 1000, 'Time between reporting not ready and closing the listener at shutdown; longer than the load balancer needs to notice'),
+	drainMs: durationMs(0, 600_000, 10_000, 'Longest time for requests in flight to finish at shutdown'),
+	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info').meta({description: 'Level of the log.'}),
+}).refine(value => value.tokenKeys ?? value.tokenKey, {
+	path: ['tokenKeys'],
+	error: 'expected at least one key of 16 characters or more',
+	// Also checked when other fields are wrong, so that all mistakes are reported at once.
+	when: ({value}) => isMapping(value),
+});
 
 export type ProxySettings = z.infer<typeof proxySettingsSchema>;
 
--- a/packages/proxy/src/settings/load-settings.ts
+++ b/packages/proxy/src/settings/load-settings.ts
@@ -20,15 +20,32 @@
 	const parsed = schema.safeParse(value);
 	return parsed.success
 		? ok(parsed.data)
-		: err(failure(parsed.error.issues.map(issue => describe(issue, value))));
+		: err(failure(parsed.error.issues.flatMap(issue => describe(issue, value))));
 }
 
-function describe({path, message}: z.core.$ZodIssue, root: unknown): string {
+/** Fields whose values must not reach the log. */
+const secretFields: ReadonlySet<PropertyKey> = new Set(['tokenKeys', 'tokenKey']);
+
+function describe(issue: z.core.$ZodIssue, root: unknown): string[] {
+	return issue.code === 'unrecognized_keys'
+		? issue.keys.map(key => lineOf([...issue.path, key], 'no such setting; remove it or correct its name', root))
+		: [lineOf(issue.path, issue.message, root)];
+}
+
+function lineOf(path: PropertyKey[], message: string, root: unknown): string {
 	let seen: unknown = root;
 	for (const key of path) {
 		seen = typeof seen === 'object' && seen !== null ? (seen as Record<PropertyKey, unknown>)[key] : undefined;
 	}
 
 	const where = path.length === 0 ? '(root)' : path.join('.');
-	return `${where}: ${message} (seen: ${seen === undefined ? 'nothing' : JSON.stringify(seen)})`;
+	return `${where}: ${message} (seen: ${shown(path, seen)})`;
+}
+
+function shown(path: PropertyKey[], seen: unknown): string {
+	if (seen === undefined) {
+		return 'nothing';
+	}
+
+	return path.some(key => secretFields.has(key)) ? 'hidden' : JSON.stringify(seen);
 }
