--- a/packages/proxy/src/settings/load-settings.ts
+++ b/packages/proxy/src/settings/load-settings.ts
@@ -20,28 +20,32 @@
 	const parsed = schema.safeParse(value);
 	return parsed.success
 		? ok(parsed.data)
-		: err(failure(parsed.error.issues.map(issue => describe(issue, value))));
+		: err(failure(parsed.error.issues.flatMap(issue => describe(issue, value))));
 }
 
-/** Settings whose values are secret and stay out of messages. */
-const secretKeys = new Set<PropertyKey>(['tokenKeys', 'tokenKey']);
+/** Fields whose values must not reach the log. */
+const secretFields: ReadonlySet<PropertyKey> = new Set(['tokenKeys', 'tokenKey']);
 
-function describe({path, message}: z.core.$ZodIssue, root: unknown): string {
-	// A mistake of the whole file names its keys itself; showing the file would show its secrets.
-	return path.length === 0
-		? `(root): ${message}`
-		: `${path.join('.')}: ${message} (seen: ${describeSeen(path, root)})`;
+function describe(issue: z.core.$ZodIssue, root: unknown): string[] {
+	return issue.code === 'unrecognized_keys'
+		? issue.keys.map(key => lineOf([...issue.path, key], 'no such setting; remove it or correct its name', root))
+		: [lineOf(issue.path, issue.message, root)];
 }
 
-function describeSeen(path: PropertyKey[], root: unknown): string {
+function lineOf(path: PropertyKey[], message: string, root: unknown): string {
 	let seen: unknown = root;
 	for (const key of path) {
 		seen = typeof seen === 'object' && seen !== null ? (seen as Record<PropertyKey, unknown>)[key] : undefined;
 	}
 
+	const where = path.length === 0 ? '(root)' : path.join('.');
+	return `${where}: ${message} (seen: ${shown(path, seen)})`;
+}
+
+function shown(path: PropertyKey[], seen: unknown): string {
 	if (seen === undefined) {
 		return 'nothing';
 	}
 
-	return secretKeys.has(path[0]!) ? 'a value that is not shown' : JSON.stringify(seen);
+	return path.some(key => secretFields.has(key)) ? 'hidden' : JSON.stringify(seen);
 }
