--- a/packages/coordination/test/ownership/assign-owners.test.ts
+++ b/packages/coordination/test/ownership/assign-owners.test.ts
@@ -60,6 +60,8 @@
 		t.equal(actingSeat({database: 'ledger', seats: before, changeId: ''}, view)?.rank, replaced ? 1 : 0, `${name}: acting rank`);
 	}
 
+	const spreads = Array.from({length: 50}, (_, index) => domainsOf(assignSeats(`db${index}`, [], viewOf(members))));
+	t.same(new Set(spreads), new Set([3]), 'any database has seats in three failure domains');
 	const two = assignSeats('ledger', [], viewOf(fleet(2)));
 	t.equal(two.length, 2, 'fewer proxies than seats');
 	t.equal(domainsOf(assignSeats('ledger', [], viewOf([0, 4, 8, 1].map(index => memberOf(index))))), 2, 'fewer failure domains than seats');
