Do not print token keys in messages about malformed YAML

Cause: the message of the YAML parser ends with an excerpt of the file, which can hold token keys.

Change: only the first line of the message, with line and column, is reported.

--- a/packages/proxy/src/settings/load-settings.ts
+++ b/packages/proxy/src/settings/load-settings.ts
@@ -13,7 +13,8 @@
 export function loadSettings<Schema extends z.ZodType>(text: string, schema: Schema): Result<z.infer<Schema>, SettingsError> {
 	const document = parseYaml(text, {uniqueKeys: true});
 	if (document.errors.length > 0) {
-		return err(failure(document.errors.map(({message}) => message)));
+		// The rest of the message is an excerpt of the file, which may hold token keys.
+		return err(failure(document.errors.map(({message}) => message.split('\n')[0]!.replace(/:$/, '.'))));
 	}
 
 	const value: unknown = document.toJS() ?? {};
