Add a load scenario for the governing document

Change: `dogwood-load document` lets authors of all teams edit the same and different sections with `editSection` while proxies serve load: platform down before, during and after an edit, lost answers, stalled watches, a paused proxy, restarts one by one, and SIGKILL of all proxies with the platform down, after which none may be ready or have a document until the platform is back. Every proxy's version is polled on /status, and the content of each version is fetched from the peer service and compared. The fault `loseAnswers` of the load tool is a number, as the stand-in takes it.

--- a/packages/load/src/bin/dogwood-load.ts
+++ b/packages/load/src/bin/dogwood-load.ts
@@ -14,6 +14,9 @@
 
 const maxSeconds = 300;
 
+/** Each process takes about 80 MB. */
+const maxProxies = 100;
+
 const scenarios = createScenarios();
 
 const argumentsSchema = z.object({
@@ -25,7 +28,7 @@
 	deployment: z.enum(['kiambu', 'molde']),
 	seconds: z.coerce.number().positive().max(maxSeconds),
 	rate: z.coerce.number().positive().max(5000),
-	proxies: z.coerce.number().int().min(1).max(9),
+	proxies: z.coerce.number().int().min(1).max(maxProxies),
 	applyLagMs: z.coerce.number().int().min(0).optional(),
 });
 
--- a/packages/load/src/deployment/definitions.ts
+++ b/packages/load/src/deployment/definitions.ts
@@ -23,7 +23,8 @@
 export type PlatformFaults = {
 	down?: boolean;
 	delayMs?: number;
-	loseAnswers?: boolean;
+	/** Number of writes that take effect without an answer. */
+	loseAnswers?: number;
 	stallWatches?: boolean;
 	hostsFrozen?: boolean;
 };
--- a/packages/load/src/deployment/infra/platform-client.ts
+++ b/packages/load/src/deployment/infra/platform-client.ts
@@ -28,6 +28,12 @@
 		await requestJson('PUT', `${this.baseUrl}/v1/faults`, faults);
 	}
 
+	/** Calls of all clients since the platform started. */
+	async countCalls(): Promise<number> {
+		const {calls} = await requestJson('GET', `${this.baseUrl}/v1/calls`) as {calls: Record<string, number>};
+		return Object.values(calls).reduce((sum, count) => sum + count, 0);
+	}
+
 	async #readValue(kind: ObjectKind, name: string): Promise<unknown> {
 		const object = await requestJson('GET', `${this.baseUrl}/v1/objects/${kind}/${name}`) as PlatformObject;
 		return object.value;
--- a/packages/load/src/scenario/core/run-scenario.ts
+++ b/packages/load/src/scenario/core/run-scenario.ts
@@ -163,9 +163,10 @@
 	}
 
 	#createContext(directory: ReadyProxies, workload: Workload): ScenarioContext {
-		const {timers, durationMs, scenarioOptions, log} = this.#options;
+		const {timers, durationMs, scenarioOptions, log, seed} = this.#options;
 		return {
 			deployment: this.#deployment,
+			seed,
 			timers,
 			durationMs,
 			options: scenarioOptions,
--- a/packages/load/src/scenario/definitions.ts
+++ b/packages/load/src/scenario/definitions.ts
@@ -17,6 +17,7 @@
 /** What a scenario works with while the load runs. */
 export type ScenarioContext = {
 	deployment: Deployment;
+	seed: number;
 	timers: TimerService;
 	/** Time that the load runs in ms; faults are placed relative to it. */
 	durationMs: number;
--- a/packages/load/src/scenario/scenarios/index.ts
+++ b/packages/load/src/scenario/scenarios/index.ts
@@ -1,6 +1,7 @@
 import {type Scenario} from '../definitions.js';
 import {CrestScenario} from './crest.js';
 import {CrossedScenario} from './crossed.js';
+import {DocumentScenario} from './document.js';
 import {FailoverScenario} from './failover.js';
 import {LeavingScenario} from './leaving.js';
 import {LongWorkScenario} from './long-work.js';
@@ -25,4 +26,5 @@
 	new LongWorkScenario(),
 	new CrestScenario(),
 	new ReadShareScenario(),
+	new DocumentScenario(),
 ];
