Keep a GOAWAY from ending the process

Any proxy could be hit when a peer shuts down gracefully.

Change: `GuardedSessionManager` adds an error listener that stays on each session. Proxies, `dogwoodctl` and the load tool use it.

Tests: the new test in packages/proxy/test/http2 fails with the library's manager (uncaught exception) and passes with the guarded one. In packages/proxy/test/peer "a peer that accepts requests and stays silent is given up" fails here before and after this change ("Session closed with error code 8", emitted on the test's own ServerHttp2Stream, which has no error listener); it is left as it is.

--- a/packages/ctl/src/proxies/infra/peer-proxy-view.ts
+++ b/packages/ctl/src/proxies/infra/peer-proxy-view.ts
@@ -1,6 +1,7 @@
 import {createClient} from '@connectrpc/connect';
-import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {createConnectTransport, type Http2SessionManager} from '@connectrpc/connect-node';
 import {PeerService} from '@dogwoodthread/protocol';
+import {GuardedSessionManager} from '@dogwoodthread/proxy';
 import {ResultAsync} from 'neverthrow';
 import {type ProxyError, type ProxyMember, type ProxyView} from '../definitions.js';
 
@@ -45,7 +46,7 @@
 
 	#client(address: string) {
 		const baseUrl = `http://${address}`;
-		const sessionManager = this.#sessions.get(address) ?? new Http2SessionManager(baseUrl);
+		const sessionManager = this.#sessions.get(address) ?? new GuardedSessionManager(baseUrl);
 		this.#sessions.set(address, sessionManager);
 		return createClient(PeerService, createConnectTransport({
 			baseUrl, httpVersion: '2', sessionManager, defaultTimeoutMs: this.options.timeoutMs,
--- a/packages/load/src/deployment/infra/group-starter.ts
+++ b/packages/load/src/deployment/infra/group-starter.ts
@@ -1,7 +1,8 @@
 import {createClient, type Client} from '@connectrpc/connect';
-import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {createConnectTransport} from '@connectrpc/connect-node';
 import {type GroupRecord} from '@dogwoodthread/coordination';
 import {EndpointService} from '@dogwoodthread/protocol';
+import {GuardedSessionManager} from '@dogwoodthread/proxy';
 import {type EndpointHandle} from '../definitions.js';
 
 /** Starting an empty instance takes milliseconds. */
@@ -9,7 +10,7 @@
 
 const withClient = async <T>(endpoint: EndpointHandle, call: (client: Client<typeof EndpointService>) => Promise<T>): Promise<T> => {
 	const baseUrl = `http://${endpoint.endpointAddress}`;
-	const sessionManager = new Http2SessionManager(baseUrl);
+	const sessionManager = new GuardedSessionManager(baseUrl);
 	try {
 		return await call(createClient(EndpointService, createConnectTransport({httpVersion: '2', baseUrl, sessionManager})));
 	} finally {
--- a/packages/load/src/governing/infra/version-observer.ts
+++ b/packages/load/src/governing/infra/version-observer.ts
@@ -1,8 +1,9 @@
 import {createHash} from 'node:crypto';
 import {createClient} from '@connectrpc/connect';
-import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {createConnectTransport, type Http2SessionManager} from '@connectrpc/connect-node';
 import {type StoredDocument, type TimerService} from '@dogwoodthread/coordination';
 import {PeerService} from '@dogwoodthread/protocol';
+import {GuardedSessionManager} from '@dogwoodthread/proxy';
 import {type Deployment, type ProxyHandle} from '../../deployment/index.js';
 import {type ContentObservation, type VersionObservation} from '../definitions.js';
 
@@ -97,7 +98,7 @@
 
 	async #readContent(hostId: string, peerAddress: string): Promise<void> {
 		const baseUrl = `http://${peerAddress}`;
-		const sessionManager = this.#sessions.get(peerAddress) ?? new Http2SessionManager(baseUrl);
+		const sessionManager = this.#sessions.get(peerAddress) ?? new GuardedSessionManager(baseUrl);
 		this.#sessions.set(peerAddress, sessionManager);
 		const client = createClient(PeerService, createConnectTransport({
 			baseUrl, httpVersion: '2', sessionManager, defaultTimeoutMs: callTimeoutMs,
--- a/packages/load/src/workload/infra/connect-caller-client.ts
+++ b/packages/load/src/workload/infra/connect-caller-client.ts
@@ -1,10 +1,11 @@
 import {
 	Code, ConnectError, createClient, type Client,
 } from '@connectrpc/connect';
-import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {createConnectTransport, type Http2SessionManager} from '@connectrpc/connect-node';
 import {
 	Access, CallerService, WorkClass, type ExecuteResponse,
 } from '@dogwoodthread/protocol';
+import {GuardedSessionManager} from '@dogwoodthread/proxy';
 import {type JsonRow} from '../../history/index.js';
 import {type CallAnswer, type CallerClient, type CallRequest} from '../definitions.js';
 
@@ -105,7 +106,7 @@
 		}
 
 		const baseUrl = `http://${proxyAddress}`;
-		const sessions = new Http2SessionManager(baseUrl);
+		const sessions = new GuardedSessionManager(baseUrl);
 		const client = createClient(CallerService, createConnectTransport({httpVersion: '2', baseUrl, sessionManager: sessions}));
 		const connection = {client, sessions};
 		this.#connections.set(proxyAddress, connection);
--- a/packages/proxy/src/endpoint/infra/connect-endpoint-connector.ts
+++ b/packages/proxy/src/endpoint/infra/connect-endpoint-connector.ts
@@ -1,6 +1,6 @@
 import {create} from '@bufbuild/protobuf';
 import {type Client, createClient} from '@connectrpc/connect';
-import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {createConnectTransport, type Http2SessionManager} from '@connectrpc/connect-node';
 import {
 	type ControlReply, type FenceReply, type GroupMember, type TimerService,
 } from '@dogwoodthread/coordination';
@@ -8,6 +8,7 @@
 	EndpointService, HelloSchema, type MonitorRequest, MonitorRequestSchema,
 } from '@dogwoodthread/protocol';
 import {err, ok, type Result} from 'neverthrow';
+import {GuardedSessionManager} from '../../http2/index.js';
 import {toLogPosition, toMemberStatus} from '../../wire/index.js';
 import {
 	type ConnectError, type ConnectionIdentity, type ControlError, type EndpointConnection, type EndpointConnector,
@@ -153,7 +154,7 @@
 
 function openWire(address: string): Wire {
 	const baseUrl = `http://${address}`;
-	const sessionManager = new Http2SessionManager(baseUrl);
+	const sessionManager = new GuardedSessionManager(baseUrl);
 	const transport = createConnectTransport({baseUrl, httpVersion: '2', sessionManager});
 	return {client: createClient(EndpointService, transport), sessionManager};
 }
--- a/packages/proxy/src/peer/core/peer-clients.ts
+++ b/packages/proxy/src/peer/core/peer-clients.ts
@@ -1,9 +1,10 @@
 import {type Client, createClient} from '@connectrpc/connect';
-import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {createConnectTransport, type Http2SessionManager} from '@connectrpc/connect-node';
 import {type GroupRecord, type TimerService, type VersionedOwnership} from '@dogwoodthread/coordination';
 import {
 	type ExecuteRequest, PeerService, type TransactRequest, type TransactResponse,
 } from '@dogwoodthread/protocol';
+import {GuardedSessionManager} from '../../http2/index.js';
 import {
 	type ForwardResult, type PeerLinks, type PeerOwnership, type PeerQueries,
 } from '../definitions.js';
@@ -94,7 +95,7 @@
 		}
 
 		const baseUrl = `http://${peerAddress}`;
-		const sessionManager = new Http2SessionManager(baseUrl, {idleConnectionTimeoutMs: idleTimeoutMs});
+		const sessionManager = new GuardedSessionManager(baseUrl, {idleConnectionTimeoutMs: idleTimeoutMs});
 		const transport = createConnectTransport({baseUrl, httpVersion: '2', sessionManager});
 		const peer = {client: createClient(PeerService, transport), sessionManager, link: undefined};
 		this.#peers.set(peerAddress, peer);
