Add dogwoodctl status and counters for the audit

Cause: operators had no single view of proxies and databases, and promotions that cannot be agreed without the platform were to be seen in the log and a metric only. The audit had a port for counters, but no source.

The status page of a proxy names why the last promotion failed while one is still called for. Samples also hold the counters of reads and promotions; older samples are read as before, without counts of writes and promotions. The port no longer asks for lost, doubled and altered writes, which no counter shows.

Conclusion: status and audit work against fakes and the platform stand-in; they have not been run against a deployment of real proxies yet.

--- a/packages/coordination/src/service-level/definitions.ts
+++ b/packages/coordination/src/service-level/definitions.ts
@@ -29,6 +29,12 @@
 	count: number;
 };
 
+/** Reads answered as done since the process started. */
+export type ReadCount = {database: string; servedBy: string; count: number};
+
+/** Promotions since the process started; `promoted` or the kind of the failure. */
+export type PromotionCount = {database: string; result: string; count: number};
+
 /** Requests of one kind that took at most `upToMs` since the process started. */
 export type LatencyCount = {
 	database: string;
@@ -48,6 +54,10 @@
 	startedUnixMs: number;
 	requests: RequestCount[];
 	latencies: LatencyCount[];
+	/** Absent in samples of earlier versions. */
+	reads?: ReadCount[];
+	/** Absent in samples of earlier versions. */
+	promotions?: PromotionCount[];
 };
 
 /** What ended a request badly. */
--- a/packages/ctl/src/commands/audit/domain/audit-text.ts
+++ b/packages/ctl/src/commands/audit/domain/audit-text.ts
@@ -1,5 +1,5 @@
 import {type HistoryEntry, type MonitorWords} from '@dogwoodthread/coordination';
-import {type DatabaseCounters} from '../definitions.js';
+import {type DatabaseCounters, type PeriodCounters} from '../definitions.js';
 
 /** Number of lines that a change removed and added. */
 export const changedLines = ({difference}: HistoryEntry): {removed: number; added: number} => {
@@ -18,8 +18,21 @@
 	return `${new Date(atUnixMs).toISOString()}  ${words.change}, version ${version}, ${place}, by ${author} (${team}): ${reason}; ${removed} lines removed, ${added} added`;
 };
 
+const known = (count: number | undefined): string => count === undefined ? 'not known' : String(count);
+
 /** Counters of one database in the words of the monitor's section. */
-export const countersText = (words: MonitorWords, counters: DatabaseCounters): string => [
-	`${words.database} ${counters.database}: ${words.booking} ${counters.bookings}, ${words.payment} ${counters.payments}`,
-	...(['lost', 'doubled', 'altered', 'refused'] as const).map(key => `${words[key]} ${counters[key]}`),
-].join(', ');
+export const countersText = (words: MonitorWords, {database, acknowledgedWrites, refused, unknownOutcomes, promotions}: DatabaseCounters): string => [
+	`${words.database} ${database}: ${words.booking} and ${words.payment}, acknowledged writes together: ${known(acknowledgedWrites)}`,
+	`${words.refused}: ${refused}`,
+	`unknown outcomes: ${unknownOutcomes}`,
+	`promotions: ${known(promotions)}`,
+].join('; ');
+
+/** What the counters rest on, and what they cannot say. */
+export const limitsText = (words: MonitorWords, {firstSampleUnixMs, lastSampleUnixMs, damagedLines}: PeriodCounters): string[] => [
+	`Counted by the proxies, from samples between ${new Date(firstSampleUnixMs).toISOString()} and ${new Date(lastSampleUnixMs).toISOString()}.`,
+	`Not known from counters: ${words.lost}, ${words.doubled}, ${words.altered}. They take a comparison of the callers' answers with the endpoints' logs.`,
+	`Not told apart: ${words.booking} and ${words.payment}; a repeated request counts once for each answer; statements of transactions are not counted.`,
+	'Missing: requests before the first sample, and those of a proxy between its last sample and its end. Between two samples an even rate is assumed.',
+	...damagedLines > 0 ? [`Lines of the samples file that cannot be read and are left out: ${damagedLines}.`] : [],
+];
--- a/packages/ctl/src/commands/audit/index.ts
+++ b/packages/ctl/src/commands/audit/index.ts
@@ -1,4 +1,6 @@
 /** `dogwoodctl audit`. */
-export type {AuditCounters, CounterErrorKind, DatabaseCounters} from './definitions.js';
+export type {
+	AuditCounters, CounterErrorKind, DatabaseCounters, PeriodCounters,
+} from './definitions.js';
 export {auditCommand} from './core/audit-command.js';
-export {noCounters} from './infra/no-counters.js';
+export {countersFrom} from './infra/sample-counters.js';
--- /dev/null
+++ b/packages/ctl/src/commands/audit/infra/sample-counters.ts
@@ -0,0 +1,19 @@
+import {err, ok} from 'neverthrow';
+import {JsonLinesSampleStore} from '../../../report/index.js';
+import {type AuditCounters} from '../definitions.js';
+import {countPeriod} from '../domain/count-period.js';
+import {noCounters} from './no-counters.js';
+
+/** Counters from a samples file as `dogwoodctl report` keeps it. */
+export const countersFrom = (samplesFile: string | undefined): AuditCounters => samplesFile === undefined
+	? noCounters
+	: {
+		between: (fromUnixMs, toUnixMs) => new JsonLinesSampleStore(samplesFile).readAll()
+			.mapErr(({message}) => ({kind: 'counters-unavailable' as const, message}))
+			.andThen(({samples, damagedLines}) => {
+				const counted = countPeriod(samples, fromUnixMs, toUnixMs);
+				return counted
+					? ok({...counted, damagedLines})
+					: err({kind: 'counters-unavailable' as const, message: `${samplesFile} has no samples of the period; run "dogwoodctl report" regularly.`});
+			}),
+	};
--- a/packages/ctl/src/commands/index.ts
+++ b/packages/ctl/src/commands/index.ts
@@ -1,5 +1,5 @@
 import {type Command} from '../cli/index.js';
-import {auditCommand, noCounters} from './audit/index.js';
+import {auditCommand, countersFrom} from './audit/index.js';
 import {documentApply} from './document-apply/index.js';
 import {documentCheck} from './document-check/index.js';
 import {documentDiff} from './document-diff/index.js';
@@ -10,6 +10,7 @@
 import {documentRepair} from './document-repair/index.js';
 import {documentShow} from './document-show/index.js';
 import {documentStatus} from './document-status/index.js';
+import {HttpStatusReader, statusCommand} from './status/index.js';
 
 /** All commands of `dogwoodctl`. */
 export const commands: readonly Command[] = [
@@ -23,5 +24,6 @@
 	documentInit,
 	documentRepair,
 	documentReference,
-	auditCommand(noCounters),
+	auditCommand(countersFrom),
+	statusCommand(timers => new HttpStatusReader(timers)),
 ];
--- a/packages/ctl/src/report/domain/service-sample.ts
+++ b/packages/ctl/src/report/domain/service-sample.ts
@@ -33,5 +33,11 @@
 		latencies: named('dogwood_request_duration_seconds_bucket').map(line => ({
 			...kindLabels(line), upToMs: boundMs(line.labels.le), count: line.value,
 		})),
+		reads: named('dogwood_reads_total').map(({labels, value}) => ({
+			database: labels.database ?? '', servedBy: labels.served_by ?? '', count: value,
+		})),
+		promotions: named('dogwood_promotions_total').map(({labels, value}) => ({
+			database: labels.database ?? '', result: labels.result ?? '', count: value,
+		})),
 	});
 };
--- a/packages/ctl/src/report/infra/json-lines-sample-store.ts
+++ b/packages/ctl/src/report/infra/json-lines-sample-store.ts
@@ -13,6 +13,8 @@
 	startedUnixMs: z.number(),
 	requests: z.array(z.object({...kind, code: z.string()})),
 	latencies: z.array(z.object({...kind, upToMs: z.number().nullable()})),
+	reads: z.array(z.object({database: z.string(), servedBy: z.string(), count: z.number()})).optional(),
+	promotions: z.array(z.object({database: z.string(), result: z.string(), count: z.number()})).optional(),
 });
 
 const parseLine = (line: string): ServiceSample | undefined => {
--- a/packages/proxy/src/owner/core/database-owner.ts
+++ b/packages/proxy/src/owner/core/database-owner.ts
@@ -74,6 +74,7 @@
 			term: tracker.term,
 			primary: primary?.member.memberId,
 			primaryLostForMs: primaryLostSinceMs === undefined ? undefined : Math.round(this.options.timers.nowMs() - primaryLostSinceMs),
+			promotionFailed: this.isActing ? this.#driver.failedKind : undefined,
 			confirmedIndex: tracker.confirmedIndex,
 			instances: [...this.state.instances.values()].map(instance => this.#describeInstance(instance)),
 		};
--- a/packages/proxy/src/owner/core/promotion-driver.ts
+++ b/packages/proxy/src/owner/core/promotion-driver.ts
@@ -23,10 +23,16 @@
 	#witnessed: {memberId: string; unreachable: boolean; atMs: number} | undefined;
 	#asking = false;
 	#notBeforeMs = 0;
+	#failedKind: string | undefined;
 	readonly #subscriptions: TimerSubscription[] = [];
 
 	constructor(private readonly options: OwnerOptions, private readonly state: GroupState) {}
 
+	/** Why the last attempt failed, while a promotion is still called for. */
+	get failedKind(): string | undefined {
+		return this.#failedKind;
+	}
+
 	start(): void {
 		const {timers} = this.options;
 		this.#subscriptions.push(
@@ -58,6 +64,8 @@
 				await this.#promote(evidence, this.state.primaryLostSinceMs ?? timers.nowMs() - this.options.policy.detectionMs);
 			} else if (this.state.primary && this.state.isLeaving(this.state.primary)) {
 				await this.#replaceLeaving(this.state.primary);
+			} else {
+				this.#failedKind = undefined;
 			}
 		} finally {
 			this.#busy = false;
@@ -133,12 +141,14 @@
 			this.#notBeforeMs = timers.nowMs() + (retryDelayMs * (1 + this.options.random()));
 			logger.error({event: 'promotion-failed', kind: result.error.kind, message: result.error.message});
 			events.promotionFailed(database, result.error.kind);
+			this.#failedKind = result.error.kind;
 			return;
 		}
 
 		const report: PromotionReport & {detectionMs: number} = {...result.value, detectionMs: startMs - lostSinceMs};
 		logger.info({event: 'primary-promoted', ...report});
 		events.promotion(report);
+		this.#failedKind = undefined;
 		this.#notBeforeMs = timers.nowMs() + this.options.policy.detectionMs;
 	}
 
