Start proxies of a large deployment in batches

Cause: a run with 60 proxies ended at its start because proxy-5 was not ready within 15 s (load average 29 on 10 cores). Change: at most 12 processes start at a time. Conclusion: the time limit of one process no longer depends on the fleet's size.

--- a/packages/load/src/deployment/core/deployment.ts
+++ b/packages/load/src/deployment/core/deployment.ts
@@ -10,6 +10,9 @@
 /** Longer than the proxies' own limit for requests in flight. */
 const terminateTimeoutMs = 30_000;
 
+/** More processes that start at a time take longer than the time limit for one on a busy machine. */
+const maxStartsAtOnce = 12;
+
 const region = 'local';
 
 /** A platform, the groups and the proxies of one plan as real processes on loopback. */
@@ -122,8 +125,10 @@
 	/** The first proxy starts alone; its gossip address is the seed of the others. */
 	async #startProxies(): Promise<void> {
 		this.proxies.push(await this.#startProxy(0));
-		const others = Array.from({length: this.#plan.proxies - 1}, (_, index) => index + 1);
-		this.proxies.push(...await Promise.all(others.map(async index => this.#startProxy(index))));
+		for (let first = 1; first < this.#plan.proxies; first += maxStartsAtOnce) {
+			const length = Math.min(maxStartsAtOnce, this.#plan.proxies - first);
+			this.proxies.push(...await Promise.all(Array.from({length}, async (_, offset) => this.#startProxy(first + offset))));
+		}
 	}
 
 	async #startProxy(index: number): Promise<ProxyHandle> {
--- a/packages/load/src/scenario/scenarios/document-phases.ts
+++ b/packages/load/src/scenario/scenarios/document-phases.ts
@@ -18,7 +18,7 @@
 /** Restarts at a time in a rolling restart: one for up to 9 proxies. */
 const proxiesPerRestart = 9;
 
-const maxStartsAtOnce = 15;
+const maxStartsAtOnce = 12;
 
 const highestAccepted = (records: readonly EditRecord[]): number => Math.max(1, ...records.map(({acceptedVersion = 0}) => acceptedVersion));
 
