Let a proxy lag by the usual time in dogwoodctl status

Cause: run against 6 live proxies of a deployment of 60 right after an edit, status reported 4 of them as behind and ended with 1 although the change was on its way. Change: a proxy that is behind needs attention once its last confirmation is over 9 s old, the target at 100 proxies. Conclusion: an edit alone no longer makes status end with 1 within that time.

--- a/packages/ctl/src/commands/status/domain/fleet-status.ts
+++ b/packages/ctl/src/commands/status/domain/fleet-status.ts
@@ -2,14 +2,17 @@
 	type AnsweredStatus, type DatabaseRow, type FleetStatus, type OwnedDatabase, type ProxyRow, type ProxyStatus,
 } from '../definitions.js';
 
+/** A change takes up to 9 s to be in force on a large fleet; a proxy that lags for less is in order. */
+const usualLagMs = 9000;
+
 /** Times in whole seconds, for people. */
 const seconds = (ms: number): string => `${Math.round(ms / 1000)} s`;
 
 const when = (holds: boolean, text: string): string[] => holds ? [text] : [];
 
-const documentAttention = ({document: {version, isStale, damagedVersion}}: ProxyStatus, newest: number): string[] => [
+const documentAttention = ({document: {version, confirmationAgeMs, isStale, damagedVersion}}: ProxyStatus, newest: number): string[] => [
 	...when(version === 0, 'no document in force'),
-	...when(version > 0 && version < newest, `document is behind version ${newest}`),
+	...when(version > 0 && version < newest && confirmationAgeMs > usualLagMs, `document is behind version ${newest}`),
 	...when(version > 0 && isStale, 'document was not confirmed for too long'),
 	...when(damagedVersion !== undefined, `document version ${damagedVersion} at the platform is damaged`),
 ];
