--- a/packages/proxy/src/owner/core/read-execution.ts
+++ b/packages/proxy/src/owner/core/read-execution.ts
@@ -35,9 +35,11 @@
 
 	async execute(context: ExecutionContext): Promise<ExecuteResponse> {
 		const tried = new Set<string>();
+		// One wait for each read, however often it is tried.
+		const waitUntilMs = Math.min(this.options.timers.nowMs() + replicaWaitMs, context.deadlineMs);
 		let last = notRun('no-instance', 'The read did not run.', briefRetryAfterMs * (1 + this.options.random()));
 		for (let attempt = 0; attempt < maxAttempts && remainingMs(context, this.options.timers) > 0; attempt += 1) {
-			const instance = await this.#chooseInstance(context, tried);
+			const instance = await this.#chooseInstance(context, tried, waitUntilMs);
 			if (!instance) {
 				return last;
 			}
@@ -55,9 +57,8 @@
 	}
 
 	/** An eligible replica, after a short wait if one is about to become eligible, else the primary. */
-	async #chooseInstance(context: ExecutionContext, tried: ReadonlySet<string>): Promise<Instance | undefined> {
+	async #chooseInstance(context: ExecutionContext, tried: ReadonlySet<string>, waitUntilMs: number): Promise<Instance | undefined> {
 		const {timers} = this.options;
-		const waitUntilMs = Math.min(timers.nowMs() + replicaWaitMs, context.deadlineMs);
 		for (;;) {
 			const replica = this.#chooseReplica(context, tried);
 			if (replica) {
@@ -142,9 +143,10 @@
 		}
 
 		const sentAtMs = this.options.timers.nowMs();
+		// Waiting for the connection may have taken a part of the time.
 		const reply = await lease.value.connection.execute({
 			term: 0, statement: context.request.statement!, access: 'read',
-		}, timeoutMs);
+		}, answerTimeoutMs(context, permit.workClass, this.options));
 		this.#latency(instance.member.memberId).add(this.options.timers.nowMs() - sentAtMs);
 		instance.pool.giveBack(lease.value, reply);
 		permit.release(reply.kind === 'completed' ? 'completed' : (reply.kind === 'lost' ? 'timeout' : 'failed'));
