Add `dogwoodctl report` with the objectives of the governing document

Cause: the report on service-level burn existed as a function but no command called it, and its option for proxies clashed with the common `--proxy`. Change: a command with `--admin`, `--samples`, `--objectives` or the document at `--platform`, `--html` and `--json`. Before and after: "There is no command report"; now exit code 2 with the missing option named.

--- a/packages/ctl/src/commands/index.ts
+++ b/packages/ctl/src/commands/index.ts
@@ -10,6 +10,7 @@
 import {documentRepair} from './document-repair/index.js';
 import {documentShow} from './document-show/index.js';
 import {documentStatus} from './document-status/index.js';
+import {reportCommand} from './report/index.js';
 import {HttpStatusReader, statusCommand} from './status/index.js';
 
 /** All commands of `dogwoodctl`. */
@@ -25,5 +26,6 @@
 	documentRepair,
 	documentReference,
 	auditCommand(countersFrom),
+	reportCommand(),
 	statusCommand(timers => new HttpStatusReader(timers)),
 ];
--- /dev/null
+++ b/packages/ctl/src/commands/report/index.ts
@@ -0,0 +1,2 @@
+/** The command `report`. */
+export {reportCommand} from './core/report-command.js';
--- a/packages/ctl/src/report/index.ts
+++ b/packages/ctl/src/report/index.ts
@@ -1,3 +1,4 @@
 /** The command `dogwoodctl report`: burn of service-level objectives from the proxies' counters. */
-export {registerReport, runReport, type ReportOptions} from './infra/register-report.js';
+export type {ObjectivesSource, ReportError} from './definitions.js';
+export {runReport, type ReportOptions} from './infra/run-report.js';
 export {JsonLinesSampleStore} from './infra/json-lines-sample-store.js';
--- a/packages/ctl/src/report/infra/register-report.ts
+++ b/packages/ctl/src/report/infra/run-report.ts
@@ -1,12 +1,11 @@
 import {writeFile} from 'node:fs/promises';
 import {SystemTimerService} from '@dogwoodthread/coordination';
-import {type CAC} from 'cac';
 import {
 	err, ok, ResultAsync, type Result,
 } from 'neverthrow';
-import {destination, pino, type Logger} from 'pino';
+import {type Logger} from 'pino';
 import {buildReport, collectSamples} from '../core/build-report.js';
-import {type ReportError, type ServiceLevelReport} from '../definitions.js';
+import {type ObjectivesSource, type ReportError, type ServiceLevelReport} from '../definitions.js';
 import {reportHtml} from '../domain/report-html.js';
 import {reportText} from '../domain/report-text.js';
 import {HttpMetricsReader} from './http-metrics-reader.js';
@@ -19,19 +18,23 @@
 	objectives?: string;
 	json?: boolean;
 	html?: string;
+	/** Used instead of the objectives file, e.g. the governing document. */
+	objectivesSource?: ObjectivesSource;
 };
 
-type UsedOptions = {proxies: string[]; samples: string; objectives: string; json: boolean; html: string | undefined};
+type UsedOptions = {proxies: string[]; samples: string; objectives: ObjectivesSource; json: boolean; html: string | undefined};
 
-const usedOptions = ({proxy = [], samples, objectives, json = false, html}: ReportOptions): UsedOptions | undefined =>
-	typeof samples === 'string' && typeof objectives === 'string' && (html === undefined || typeof html === 'string')
+const usedOptions = ({proxy = [], samples, objectives, json = false, html, objectivesSource}: ReportOptions): UsedOptions | undefined => {
+	const source = objectivesSource ?? (typeof objectives === 'string' ? new YamlObjectives(objectives) : undefined);
+	return typeof samples === 'string' && source && (html === undefined || typeof html === 'string')
 		? {
-			proxies: [proxy].flat().flatMap(list => String(list).split(',')).filter(Boolean), samples, objectives, json, html,
+			proxies: [proxy].flat().flatMap(list => String(list).split(',')).filter(Boolean), samples, objectives: source, json, html,
 		}
 		: undefined;
+};
 
 const produce = async (options: UsedOptions, logger: Logger): Promise<Result<ServiceLevelReport, ReportError>> => {
-	const objectives = await new YamlObjectives(options.objectives).read();
+	const objectives = await options.objectives.read();
 	if (objectives.isErr()) {
 		return err(objectives.error);
 	}
@@ -66,7 +69,7 @@
 		}));
 
 /** Runs the report and gives the exit code: 0 done, 1 failed, 2 wrong usage or objectives. */
-export const runReport = async (given: ReportOptions, logger: Logger, print: (text: string) => void): Promise<number> => {
+export const runReport = async (given: ReportOptions, logger: Logger, print: (text: string, report: ServiceLevelReport) => void): Promise<number> => {
 	const options = usedOptions(given);
 	if (!options) {
 		logger.error('State --samples FILE and --objectives FILE; --html needs a file too.');
@@ -81,22 +84,6 @@
 		return error.kind === 'objectives-invalid' ? 2 : 1;
 	}
 
-	print(options.json ? `${JSON.stringify(report.value, undefined, 2)}\n` : reportText(report.value));
+	print(options.json ? `${JSON.stringify(report.value, undefined, 2)}\n` : reportText(report.value), report.value);
 	return options.proxies.length > 0 && report.value.unreadProxies.length === options.proxies.length ? 1 : 0;
 };
-
-/** Adds the command `report` to `dogwoodctl`. */
-export const registerReport = (cli: CAC): void => {
-	cli.command('report', 'Reads the counters of the proxies and reports the burn of service-level objectives')
-		.option('--proxy <address>', 'Admin address of a proxy; repeat it or separate addresses by commas. Without it only stored samples are used')
-		.option('--samples <file>', 'JSON lines file that keeps the samples; new ones are appended')
-		.option('--objectives <file>', 'YAML file with the objectives')
-		.option('--json', 'Print JSON instead of a table')
-		.option('--html <file>', 'Also write one self-contained HTML page')
-		.action(async (options: ReportOptions) => {
-			const logger = pino({name: 'dogwoodctl'}, destination({fd: 2, sync: true}));
-			process.exitCode = await runReport(options, logger, text => {
-				process.stdout.write(text);
-			});
-		});
-};
