--- a/packages/proxy/src/peer/core/forward-link.ts
+++ b/packages/proxy/src/peer/core/forward-link.ts
@@ -130,6 +130,7 @@
 	async #readAnswers(): Promise<void> {
 		try {
 			for await (const {responses} of this.client.forward(this.#outgoing)) {
+				this.#lastReceivedMs = this.timers.nowMs();
 				for (const answer of responses) {
 					this.#accept(answer);
 				}
--- a/packages/proxy/src/peer/core/peer-service.ts
+++ b/packages/proxy/src/peer/core/peer-service.ts
@@ -87,6 +87,10 @@
 	async #readRequests(batches: AsyncIterable<{requests: ForwardRequest[]}>, batcher: AnswerBatcher): Promise<void> {
 		try {
 			for await (const {requests} of batches) {
+				if (requests.length === 0) {
+					batcher.confirm();
+				}
+
 				for (const request of requests) {
 					void this.#answer(request, batcher);
 				}
@@ -169,6 +173,11 @@
 		this.answers.close();
 	}
 
+	/** Answers an empty batch, which asks whether this side still answers. */
+	confirm(): void {
+		this.answers.push({responses: []});
+	}
+
 	#flush(): void {
 		if (this.#batch.length > 0) {
 			this.answers.push({responses: this.#batch});
