Use the document's retry budget and drain time; count reads by access

Change: the retry budget follows the document at once, shutdown uses its drain time, the counter looks at the access.

--- a/packages/coordination/src/retry-budget/domain/retry-budget.ts
+++ b/packages/coordination/src/retry-budget/domain/retry-budget.ts
@@ -7,8 +7,10 @@
 export class RetryBudget {
 	readonly #tokens = new Map<string, number>();
 	readonly #maxEntries: number;
+	#options: RetryBudgetOptions;
 
-	constructor(private readonly options: RetryBudgetOptions) {
+	constructor(options: RetryBudgetOptions) {
+		this.#options = options;
 		this.#maxEntries = options.maxEntries ?? 4096;
 	}
 
@@ -17,19 +19,24 @@
 		return this.#tokens.size;
 	}
 
+	/** Follows a new ratio or burst; tokens already saved up are kept up to the new burst. */
+	configure(options: Pick<RetryBudgetOptions, 'ratio' | 'burst'>): void {
+		this.#options = {...this.#options, ...options};
+	}
+
 	onSuccess(callerId: string, database: string): void {
 		const key = keyOf(callerId, database);
 		const tokens = this.#tokens.get(key);
 		// A pair without an entry has a full bucket.
 		if (tokens !== undefined) {
-			this.#store(key, tokens + this.options.ratio);
+			this.#store(key, tokens + this.#options.ratio);
 		}
 	}
 
 	/** Takes a token if there is one; false means that the request must not be retried. */
 	tryRetry(callerId: string, database: string): boolean {
 		const key = keyOf(callerId, database);
-		const tokens = this.#tokens.get(key) ?? this.options.burst;
+		const tokens = this.#tokens.get(key) ?? this.#options.burst;
 		// The tolerance covers the rounding of sums of the ratio.
 		if (tokens < 1 - 1e-9) {
 			return false;
@@ -41,7 +48,7 @@
 
 	#store(key: string, tokens: number): void {
 		this.#tokens.delete(key);
-		if (tokens >= this.options.burst) {
+		if (tokens >= this.#options.burst) {
 			return;
 		}
 
--- a/packages/coordination/test/retry-budget/retry-budget.test.ts
+++ b/packages/coordination/test/retry-budget/retry-budget.test.ts
@@ -18,6 +18,16 @@
 	t.end();
 });
 
+// Guards against limits of the governing document that only a restart would apply.
+test('a new ratio and burst apply at once', t => {
+	const budget = new RetryBudget({ratio: 0.1, burst: 3});
+	budget.configure({ratio: 1, burst: 1});
+	t.same([budget.tryRetry('a', 'nets'), budget.tryRetry('a', 'nets')], [true, false]);
+	budget.onSuccess('a', 'nets');
+	t.equal(budget.tryRetry('a', 'nets'), true);
+	t.end();
+});
+
 // Guards against callers that come back together after they were refused together.
 test('retry times spread over half to one and a half of the base', t => {
 	t.same([0, 0.5, 0.999].map(random => jitteredRetryAfterMs(200, () => random)), [100, 200, 300]);
--- a/packages/proxy/src/admin/infra/proxy-metrics.ts
+++ b/packages/proxy/src/admin/infra/proxy-metrics.ts
@@ -1,4 +1,6 @@
-import {WorkClass, type ExecuteRequest, type ExecuteResponse} from '@dogwoodthread/protocol';
+import {
+	Access, WorkClass, type ExecuteRequest, type ExecuteResponse,
+} from '@dogwoodthread/protocol';
 import {
 	collectDefaultMetrics, Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
@@ -82,7 +84,7 @@
 			database, work_class: workClass, outcome: name, code,
 		});
 		this.#durations.observe({database, work_class: workClass, outcome: name}, durationMs / 1000);
-		if (outcome.case === 'done' && request.requestKey === undefined) {
+		if (outcome.case === 'done' && request.access === Access.READ) {
 			this.#reads.inc({database, served_by: outcome.value.byReplica ? 'replica' : 'primary'});
 		}
 	}
--- a/packages/proxy/src/daemon/proxy-daemon.ts
+++ b/packages/proxy/src/daemon/proxy-daemon.ts
@@ -79,7 +79,8 @@
 		this.#parts.membership.announceLeaving();
 		await this.#timers.sleep(settings.shutdownNoticeMs);
 		this.#callerServer.stopAccepting();
-		await Promise.race([this.#inFlight.whenIdle(), this.#timers.sleep(settings.drainMs)]);
+		const drainMs = this.#parts.inForce.current?.document.operations.drainMs ?? settings.drainMs;
+		await Promise.race([this.#inFlight.whenIdle(), this.#timers.sleep(drainMs)]);
 		this.#draining = true;
 		await this.#sendAnswers();
 		logger.info({event: 'shutdown-finished', inFlight: this.#inFlight.count});
--- a/packages/proxy/src/daemon/proxy-parts.ts
+++ b/packages/proxy/src/daemon/proxy-parts.ts
@@ -21,7 +21,7 @@
 const queryTimeoutMs = 300;
 const peerConnectTimeoutMs = 300;
 
-/** Retries earned by each success, and those that a caller may save up. */
+/** Retries earned by each success, and those that a caller may save up, until a document is in force. */
 const retryBudgetOptions = {ratio: 0.1, burst: 10};
 
 export type ProxyPartsOptions = {
@@ -103,8 +103,9 @@
 		logger: labelled('owner'),
 	});
 	const keeper = new OwnershipKeeper({...directoryOptions, actingDatabases: () => owners.actingDatabases()}, directory);
+	const retryBudget = new RetryBudget(retryBudgetOptions);
 	const router = new RequestRouter({
-		directory, owners, links: peers, membership, retryBudget: new RetryBudget(retryBudgetOptions), timers, random,
+		directory, owners, links: peers, membership, retryBudget, timers, random,
 	});
 	directory.onEntry((database, entry) => {
 		owners.apply(database, entry);
@@ -112,6 +113,7 @@
 	inForce.onChange(next => {
 		labelled('document').info({event: 'document-in-force', version: next.version});
 		owners.applyPolicies();
+		retryBudget.configure(next.document.applications.retryBudget);
 	});
 	metrics.observeOwners(owners);
 	return {
