--- a/packages/coordination/src/platform/definitions.ts
+++ b/packages/coordination/src/platform/definitions.ts
@@ -2,7 +2,7 @@
 import {type TypedError} from '../errors/index.js';
 
 /** Kinds of objects that the system keeps at the platform. */
-export type ObjectKind = 'document' | 'document-history' | 'groups' | 'owners';
+export type ObjectKind = 'document' | 'document-history' | 'groups' | 'owners' | 'hosts' | 'duties';
 
 /** An object with the version that conditional updates refer to. */
 export type PlatformObject = {
@@ -57,7 +57,8 @@
 /** The platform's object service. Each call, a waiting watch included, counts against its rates. */
 export type Platform = {
 	get(kind: ObjectKind, name: string): ResultAsync<PlatformObject, PlatformError>;
-	list(kind: ObjectKind): ResultAsync<{objects: PlatformObject[]; revision: number}, PlatformError>;
+	/** A list that may be stale by seconds costs the platform less. */
+	list(kind: ObjectKind, options?: {allowStale: boolean}): ResultAsync<{objects: PlatformObject[]; revision: number}, PlatformError>;
 	/**
 	 * Creates the object (`expectedVersion` 0) or replaces it if its version is `expectedVersion`.
 	 * Gives the new version.
--- /dev/null
+++ b/packages/pooler/src/catalog/catalog.ts
@@ -0,0 +1,64 @@
+import {
+	type CatalogListener, type Configuration, type Endpoint, type Route, type ServiceLimits,
+} from './definitions.js';
+
+type Subscriber = () => void;
+
+/** Configuration and endpoints in force at this host. Versions only grow within the life of a process. */
+export class Catalog implements CatalogListener {
+	#configuration: Configuration | undefined;
+	#endpoints: readonly Endpoint[] | undefined;
+	#routes = new Map<string, Route>();
+	readonly #subscribers: Subscriber[] = [];
+
+	get version(): number {
+		return this.#configuration?.version ?? 0;
+	}
+
+	get transactionIdleMs(): number {
+		return this.#configuration?.transactionIdleMs ?? Number.POSITIVE_INFINITY;
+	}
+
+	/** Whether both parts have been read at least once. */
+	get isLoaded(): boolean {
+		return this.#configuration !== undefined && this.#endpoints !== undefined;
+	}
+
+	get services(): readonly ServiceLimits[] {
+		return this.#configuration?.services ?? [];
+	}
+
+	get endpoints(): readonly Endpoint[] {
+		return this.#endpoints ?? [];
+	}
+
+	route(database: string): Route | undefined {
+		return this.#routes.get(database);
+	}
+
+	/** Calls `subscriber` after each change. */
+	subscribe(subscriber: Subscriber): void {
+		this.#subscribers.push(subscriber);
+	}
+
+	onConfiguration(configuration: Configuration): void {
+		if (configuration.version < this.version) {
+			return;
+		}
+
+		this.#configuration = configuration;
+		this.#routes = new Map(configuration.routes.map(route => [route.database, route]));
+		this.#notify();
+	}
+
+	onEndpoints(endpoints: readonly Endpoint[]): void {
+		this.#endpoints = endpoints;
+		this.#notify();
+	}
+
+	#notify(): void {
+		for (const subscriber of this.#subscribers) {
+			subscriber();
+		}
+	}
+}
--- /dev/null
+++ b/packages/pooler/src/catalog/index.ts
@@ -0,0 +1,5 @@
+/** Configuration and endpoints as the platform publishes them. */
+export {Catalog} from './catalog.js';
+export type {
+	CatalogListener, CatalogSource, Configuration, Consistency, Endpoint, Route, ServiceLimits,
+} from './definitions.js';
--- /dev/null
+++ b/packages/pooler/src/endpoint/index.ts
@@ -0,0 +1,5 @@
+/** Ports towards endpoints. */
+export type {
+	ConnectError, ConnectErrorKind, ConnectionError, ConnectionErrorKind, EndpointAnswer, EndpointCommand,
+	EndpointConnection, EndpointConnector, EndpointStatus,
+} from './definitions.js';
--- /dev/null
+++ b/packages/pooler/src/failover/replace-leader.ts
@@ -0,0 +1,225 @@
+import {
+	comparePositions, type LogPosition, type TimerService,
+} from '@dogwoodthread/coordination';
+import {err, ok, type Result} from 'neverthrow';
+import {type EndpointCommand, type EndpointStatus} from '../endpoint/index.js';
+import {type Group, leadershipEvidenceMs, type Member} from '../group/index.js';
+import {type EventLog} from '../observability/index.js';
+import {type FailoverReason, type PromotionService} from './definitions.js';
+import {type HeldLease} from './duty-lease.js';
+
+export type ReplaceLeaderOptions = {
+	group: Group;
+	reason: FailoverReason;
+	lease: HeldLease;
+	promotions: PromotionService;
+	timers: TimerService;
+	events: EventLog;
+	hostId: string;
+};
+
+/** Longest time for a command to an endpoint during a promotion, in ms. */
+const commandTimeoutMs = 500;
+/** Time that replicas get to receive what the old primary wrote last, in ms; they usually have it at once. */
+const catchUpMs = 1000;
+const catchUpPollMs = 30;
+/** Time that a promotion gets to show, in ms; the slowest platform known takes 1,000. */
+const effectMs = 2500;
+const effectPollMs = 60;
+/** The promotion call must be sent with this much of the lease left, in ms. */
+const callMarginMs = 1000;
+const callRetryMs = 100;
+/** An instance that started less than this ago may not have its earlier log, so its word proves nothing, in ms. */
+const vouchingAgeMs = 10_000;
+
+type Vote = {member: Member; status: EndpointStatus};
+
+/**
+ * Replaces the primary of a group without losing an acknowledged commit.
+ *
+ * Such a commit is at the old primary and at one replica at least. So either the old primary has stepped down
+ * and the next one has all of its log, or all other members are fenced and the longest log among them wins.
+ */
+export class ReplaceLeader {
+	readonly #fenced: Member[] = [];
+
+	constructor(private readonly options: ReplaceLeaderOptions) {}
+
+	async run(): Promise<Result<Member, string>> {
+		const {group, events, reason, lease} = this.options;
+		const old = group.leader;
+		const term = Math.max(group.term, ...[...group.members.values()].map(({status}) => status?.fencedTerm ?? 0)) + 1;
+		events.write('promotion-started', {
+			service: group.service, reason, leader: old?.id ?? 'none', term, fencingToken: lease.fencingToken,
+		});
+		const candidate = await this.#chooseCandidate(old, term);
+		if (candidate.isErr()) {
+			await this.#resumeFenced();
+			return err(candidate.error);
+		}
+
+		const promoted = await this.#promote(candidate.value);
+		if (promoted.isErr()) {
+			await this.#resumeFenced();
+			return err(promoted.error);
+		}
+
+		const isLeading = await this.#awaitEffect(candidate.value);
+		await this.#resumeFenced(candidate.value);
+		return isLeading ? ok(candidate.value) : err('the endpoint did not become primary in time');
+	}
+
+	async #chooseCandidate(old: Member | undefined, term: number): Promise<Result<Member, string>> {
+		const replicas = [...this.options.group.members.values()].filter(member => member !== old);
+		if (!replicas.some(member => isEligible(member))) {
+			return err('no replica is ready to take over');
+		}
+
+		const end = old && await this.#stepDown(old, term);
+		if (end) {
+			const caughtUp = await this.#awaitCaughtUp(replicas, end);
+			if (caughtUp) {
+				return ok(caughtUp);
+			}
+		}
+
+		return this.#fenceReplicas(replicas, term, old, end);
+	}
+
+	/** End of the old primary's log, or undefined if it did not confirm that it has stepped down. */
+	async #stepDown(old: Member, term: number): Promise<LogPosition | undefined> {
+		const status = await this.#command(old, {kind: 'step-down', term});
+		this.#step('step-down', old, status);
+		return status?.role === 'replica' ? status.received : undefined;
+	}
+
+	async #awaitCaughtUp(replicas: readonly Member[], end: LogPosition): Promise<Member | undefined> {
+		const {timers} = this.options;
+		const deadlineMs = timers.nowMs() + catchUpMs;
+		do {
+			// eslint-disable-next-line no-await-in-loop
+			const votes = await this.#askAll(replicas, {kind: 'status'});
+			const candidate = votes
+				.filter(({member, status}) => isEligible(member) && comparePositions(status.received, end) >= 0)
+				.toSorted((a, b) => a.status.lagMs - b.status.lagMs)[0];
+			if (candidate) {
+				return candidate.member;
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await timers.sleep(catchUpPollMs);
+		} while (timers.nowMs() < deadlineMs);
+
+		return undefined;
+	}
+
+	async #fenceReplicas(replicas: readonly Member[], term: number, old: Member | undefined, end: LogPosition | undefined): Promise<Result<Member, string>> {
+		const {timers, group} = this.options;
+		const answered = await this.#askAll(replicas, {kind: 'fence', term});
+		this.#fenced.push(...answered.map(({member}) => member));
+		const votes = answered.filter(({member, status}) => status.fencedTerm >= term && isVouching(member, timers.wallClockMs()));
+		const fencedAtMs = timers.nowMs();
+		// Without a known primary, one member that does not answer may be it.
+		const needed = Math.max(1, old ? replicas.length : replicas.length - 1);
+		if (votes.length < needed) {
+			return old && end && isEligible(old)
+				? ok(old)
+				: err(`only ${votes.length} of ${needed} members of ${group.service} could be fenced`);
+		}
+
+		const longest = votes.toSorted((a, b) => comparePositions(b.status.received, a.status.received));
+		const candidate = longest.find(({member, status}) => isEligible(member) && comparePositions(status.received, longest[0]!.status.received) === 0);
+		if (!candidate) {
+			return err('the member with the longest log is leaving');
+		}
+
+		if (!end) {
+			// Hosts that still reach the old primary trust it until their last word from a replica is too old.
+			await timers.sleep(Math.max(0, leadershipEvidenceMs - (timers.nowMs() - fencedAtMs)));
+		}
+
+		return ok(candidate.member);
+	}
+
+	async #promote(candidate: Member): Promise<Result<void, string>> {
+		const {group, lease, promotions, timers, hostId} = this.options;
+		for (;;) {
+			if (!lease.isValid(callMarginMs)) {
+				return err('the lease ran out before the promotion was ordered');
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			const called = await promotions.promote({
+				service: group.service, endpointId: candidate.id, holder: hostId, fencingToken: lease.fencingToken,
+			});
+			this.#step('promote', candidate, candidate.status, called.isOk() ? 'ordered' : called.error.kind);
+			if (called.isOk()) {
+				return ok();
+			}
+
+			if (called.error.kind === 'not-running') {
+				return err(called.error.message);
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await timers.sleep(callRetryMs);
+		}
+	}
+
+	async #awaitEffect(candidate: Member): Promise<boolean> {
+		const {group, timers} = this.options;
+		const deadlineMs = timers.nowMs() + effectMs;
+		while (timers.nowMs() < deadlineMs) {
+			// eslint-disable-next-line no-await-in-loop
+			await group.poll(candidate);
+			if (group.leader === candidate) {
+				return true;
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await timers.sleep(effectPollMs);
+		}
+
+		return false;
+	}
+
+	/** A replica that stays fenced would hold up every commit that needs it. */
+	async #resumeFenced(leader?: Member): Promise<void> {
+		const replicas = this.#fenced.filter(member => member !== leader);
+		await this.#askAll(replicas, {kind: 'resume'});
+	}
+
+	async #askAll(members: readonly Member[], command: Extract<EndpointCommand, {kind: 'status' | 'fence' | 'resume'}>): Promise<Vote[]> {
+		const statuses = await Promise.all(members.map(async member => ({member, status: await this.#command(member, command)})));
+		if (command.kind !== 'status') {
+			for (const {member, status} of statuses) {
+				this.#step(command.kind, member, status);
+			}
+		}
+
+		return statuses.filter((vote): vote is Vote => vote.status !== undefined);
+	}
+
+	async #command(member: Member, command: Extract<EndpointCommand, {kind: 'status' | 'fence' | 'resume' | 'step-down'}>): Promise<EndpointStatus | undefined> {
+		return member.control(command, commandTimeoutMs);
+	}
+
+	#step(step: string, member: Member, status: EndpointStatus | undefined, outcome = status ? 'answered' : 'no-answer'): void {
+		this.options.events.write('promotion-step', {
+			service: this.options.group.service,
+			step,
+			endpointId: member.id,
+			outcome,
+			role: status?.role,
+			term: status?.term,
+			fencedTerm: status?.fencedTerm,
+			received: status && `${status.received.term}.${status.received.index}`,
+			fencingToken: this.options.lease.fencingToken,
+		});
+	}
+}
+
+const isEligible = (member: Member): boolean => member.endpoint.state === 'ready' && member.missingSinceMs === undefined;
+
+const isVouching = (member: Member, wallClockMs: number): boolean =>
+	member.endpoint.bornAtMs === 0 || wallClockMs - member.endpoint.bornAtMs > vouchingAgeMs;
--- /dev/null
+++ b/packages/pooler/src/group/group.ts
@@ -0,0 +1,319 @@
+import {
+	comparePositions, type LogPosition, maxPosition, type TimerService, type TimerSubscription, zeroPosition,
+} from '@dogwoodthread/coordination';
+import {type Endpoint, type ServiceLimits} from '../catalog/index.js';
+import {type EventLog} from '../observability/index.js';
+import {type ContinuityClock} from './continuity-clock.js';
+import {type Member} from './member.js';
+
+export type GroupOptions = {
+	service: string;
+	limits: ServiceLimits;
+	timers: TimerService;
+	clock: ContinuityClock;
+	events: EventLog;
+	createMember: (endpoint: Endpoint) => Member;
+};
+
+/** Every commit acknowledged before `askedAtMs` is at or before `position`. */
+type PositionBound = {askedAtMs: number; position: LogPosition; epoch: number};
+
+/** Interval at which each member is asked for its status, in ms. */
+const statusIntervalMs = 300;
+/** The same while no primary is known. */
+const urgentStatusIntervalMs = 100;
+/** Longest time for a status answer, in ms; it may queue behind statements. */
+const statusTimeoutMs = 800;
+/**
+ * How long a replica's word that it is not fenced counts, in ms. A promoter that cannot make the old primary
+ * step down waits for this long after fencing, so that no host still trusts that primary when the next one
+ * starts.
+ */
+export const leadershipEvidenceMs = 500;
+/** An entry that is missing for this long belongs to an endpoint that is gone, in ms. */
+const missingRetentionMs = 5000;
+/** Bounds older than this serve no route, in ms. */
+const boundRetentionMs = 10_000;
+
+/** The instances of one database: who leads, how far the log is known, and who may serve. */
+export class Group {
+	readonly members = new Map<string, Member>();
+	#limits: ServiceLimits;
+	#leader: Member | undefined;
+	#leaderTerm = 0;
+	#leaderlessSinceMs: number | undefined;
+	/** When a replica that turned out not to be fenced was asked, in ms. */
+	#unfencedAskedAtMs = Number.NEGATIVE_INFINITY;
+	#unfencedEpoch = -1;
+	#bounds: PositionBound[] = [];
+	#waiters: Array<() => void> = [];
+	#polls = new Map<Member, TimerSubscription>();
+	#closed = false;
+
+	constructor(private readonly options: GroupOptions) {
+		this.#limits = options.limits;
+		this.#leaderlessSinceMs = options.timers.nowMs();
+	}
+
+	get service(): string {
+		return this.options.service;
+	}
+
+	get limits(): ServiceLimits {
+		return this.#limits;
+	}
+
+	get leader(): Member | undefined {
+		return this.#leader;
+	}
+
+	/** Highest term in which a primary or a replica was seen. */
+	get term(): number {
+		return Math.max(this.#leaderTerm, ...[...this.members.values()].map(({status}) => status?.term ?? 0));
+	}
+
+	get leaderlessSinceMs(): number | undefined {
+		return this.#leaderlessSinceMs;
+	}
+
+	/** Takes over the endpoints that the catalog lists at present. */
+	update(endpoints: readonly Endpoint[], limits: ServiceLimits): void {
+		this.#limits = limits;
+		const nowMs = this.options.timers.nowMs();
+		const listed = new Map(endpoints.map(endpoint => [endpoint.endpointId, endpoint]));
+		for (const member of this.members.values()) {
+			const endpoint = listed.get(member.id);
+			const isSameIncarnation = endpoint && endpoint.address === member.endpoint.address && endpoint.bornAtMs === member.endpoint.bornAtMs;
+			if (endpoint && isSameIncarnation) {
+				this.#updateMember(member, endpoint);
+			} else if (endpoint) {
+				this.#remove(member, 'restarted');
+			} else if (member.endpoint.state === 'draining') {
+				this.#remove(member, 'left');
+			} else {
+				member.missingSinceMs ??= nowMs;
+			}
+		}
+
+		for (const endpoint of endpoints) {
+			if (!this.members.has(endpoint.endpointId)) {
+				this.#add(endpoint);
+			}
+		}
+	}
+
+	close(): void {
+		this.#closed = true;
+		for (const member of this.members.values()) {
+			this.#remove(member, 'service-removed');
+		}
+
+		this.#wake();
+	}
+
+	/** Polls again at once, e.g. after an answer that contradicts what is believed. */
+	pollSoon(): void {
+		for (const member of this.members.values()) {
+			this.#schedulePoll(member, 0);
+		}
+	}
+
+	/** The primary refused a statement because it no longer leads. */
+	noteLeadershipLost(member: Member): void {
+		if (this.#leader === member) {
+			this.#setLeader(undefined, 'read-only-answer');
+			member.status = undefined;
+			this.pollSoon();
+		}
+	}
+
+	/** Whether no promotion can have taken effect before `atMs`, as far as replicas said. */
+	isLeadershipProven(atMs: number): boolean {
+		return this.members.size <= 1
+			|| (this.#unfencedEpoch === this.options.clock.epoch() && atMs - this.#unfencedAskedAtMs <= leadershipEvidenceMs);
+	}
+
+	/** Asks replicas until one says that it is not fenced, or `deadlineMs` has come. */
+	async proveLeadership(atMs: number, deadlineMs: number): Promise<boolean> {
+		while (!this.isLeadershipProven(atMs) && this.options.timers.nowMs() < deadlineMs && this.#leader) {
+			const replicas = [...this.members.values()].filter(member => member !== this.#leader);
+			// eslint-disable-next-line no-await-in-loop
+			await Promise.race([
+				this.options.timers.sleep(Math.min(statusTimeoutMs, deadlineMs - this.options.timers.nowMs())),
+				...replicas.map(async member => this.poll(member)),
+			]);
+			// eslint-disable-next-line no-await-in-loop
+			await this.options.timers.sleep(5);
+		}
+
+		return this.isLeadershipProven(atMs);
+	}
+
+	/**
+	 * Oldest known position that bounds all commits acknowledged before `sinceMs`; the older it is, the more
+	 * replicas have it.
+	 */
+	boundSince(sinceMs: number): LogPosition | undefined {
+		const epoch = this.options.clock.epoch();
+		return this.#bounds.find(bound => bound.epoch === epoch && bound.askedAtMs >= sinceMs)?.position;
+	}
+
+	/** As `boundSince`, asking the members if nothing is known. */
+	async awaitBoundSince(sinceMs: number, deadlineMs: number): Promise<LogPosition | undefined> {
+		for (;;) {
+			const known = this.boundSince(sinceMs);
+			const leftMs = deadlineMs - this.options.timers.nowMs();
+			if (known || leftMs <= 0 || this.#closed) {
+				return known;
+			}
+
+			this.pollSoon();
+			// eslint-disable-next-line no-await-in-loop
+			await this.waitForChange(Math.min(leftMs, urgentStatusIntervalMs));
+		}
+	}
+
+	/** Resolves at the next change of what is known, at the latest after `waitMs`. */
+	async waitForChange(waitMs: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			const timeout = this.options.timers.after(waitMs, resolve);
+			this.#waiters.push(() => {
+				timeout.cancel();
+				resolve();
+			});
+		});
+	}
+
+	async poll(member: Member): Promise<void> {
+		const status = await member.control({kind: 'status'}, statusTimeoutMs);
+		if (status) {
+			this.#learn(member);
+		}
+
+		this.#wake();
+	}
+
+	#learn(member: Member): void {
+		const status = member.status!;
+		if (status.role === 'primary' && status.term >= this.#leaderTerm) {
+			this.#leaderTerm = status.term;
+			this.#setLeader(member, 'status');
+		} else if (member === this.#leader && status.role === 'replica') {
+			this.#setLeader(undefined, 'status');
+		}
+
+		if (member !== this.#leader && status.role === 'replica' && status.fencedTerm <= this.#leaderTerm && status.term <= this.#leaderTerm) {
+			this.#unfencedAskedAtMs = Math.max(this.#unfencedAskedAtMs, member.statusAskedAtMs);
+			this.#unfencedEpoch = this.options.clock.epoch();
+		}
+
+		this.#updateBounds();
+	}
+
+	/**
+	 * An acknowledged commit is at the primary and at one replica at least, so the statuses of all members but
+	 * one contain one of the two.
+	 */
+	#updateBounds(): void {
+		const answered = [...this.members.values()]
+			.filter(({status}) => status !== undefined)
+			.toSorted((a, b) => b.statusAskedAtMs - a.statusAskedAtMs);
+		const tolerated = this.#limits.syncReplicas > 0 ? 1 : 0;
+		const needed = Math.max(Math.min(2, this.members.size), this.members.size - tolerated);
+		if (answered.length < needed) {
+			return;
+		}
+
+		const asked = answered.slice(0, needed);
+		const askedAtMs = asked.at(-1)!.statusAskedAtMs;
+		const position = asked.map(({status}) => status!.received).reduce((a, b) => maxPosition(a, b), zeroPosition);
+		const epoch = this.options.clock.epoch();
+		const last = this.#bounds.at(-1);
+		if (!last || askedAtMs > last.askedAtMs) {
+			this.#bounds.push({askedAtMs, position, epoch});
+			const oldestMs = this.options.timers.nowMs() - boundRetentionMs;
+			this.#bounds = this.#bounds.filter(bound => bound.askedAtMs >= oldestMs && bound.epoch === epoch);
+		}
+	}
+
+	#setLeader(leader: Member | undefined, source: string): void {
+		if (leader === this.#leader) {
+			return;
+		}
+
+		const {events, timers} = this.options;
+		const previous = this.#leader?.id ?? 'none';
+		this.#leader = leader;
+		this.#leaderlessSinceMs = leader ? undefined : timers.nowMs();
+		events.write(leader ? 'leader-changed' : 'leader-unknown', {
+			service: this.service, from: previous, to: leader?.id ?? 'none', term: this.#leaderTerm, source,
+		});
+		this.#wake();
+	}
+
+	#updateMember(member: Member, endpoint: Endpoint): void {
+		const previous = member.endpoint;
+		member.endpoint = endpoint;
+		member.missingSinceMs = undefined;
+		member.drainingForMs(this.options.timers.nowMs());
+		if (previous.state !== endpoint.state || previous.role !== endpoint.role) {
+			this.options.events.write('endpoint-changed', {
+				service: this.service, endpointId: endpoint.endpointId, fromState: previous.state, toState: endpoint.state, fromRole: previous.role, toRole: endpoint.role,
+			});
+			this.#schedulePoll(member, 0);
+			this.#wake();
+		}
+	}
+
+	#add(endpoint: Endpoint): void {
+		const member = this.options.createMember(endpoint);
+		this.members.set(member.id, member);
+		this.options.events.write('endpoint-appeared', {
+			service: this.service, endpointId: member.id, address: endpoint.address, state: endpoint.state, role: endpoint.role, failureDomain: endpoint.failureDomain,
+		});
+		this.#schedulePoll(member, 0);
+	}
+
+	#remove(member: Member, reason: string): void {
+		this.members.delete(member.id);
+		this.#polls.get(member)?.cancel();
+		this.#polls.delete(member);
+		member.pool.close();
+		this.options.events.write('endpoint-gone', {service: this.service, endpointId: member.id, reason});
+		if (this.#leader === member) {
+			this.#setLeader(undefined, reason);
+		}
+	}
+
+	#schedulePoll(member: Member, delayMs: number): void {
+		this.#polls.get(member)?.cancel();
+		this.#polls.set(member, this.options.timers.after(delayMs, () => {
+			void this.#pollAndRepeat(member);
+		}));
+	}
+
+	async #pollAndRepeat(member: Member): Promise<void> {
+		const {timers} = this.options;
+		if (member.missingSinceMs !== undefined && timers.nowMs() - member.missingSinceMs > missingRetentionMs) {
+			this.#remove(member, 'entry-missing');
+			return;
+		}
+
+		const startedMs = timers.nowMs();
+		await this.poll(member);
+		member.pool.maintain();
+		if (this.members.get(member.id) === member && !this.#closed) {
+			const intervalMs = this.#leader ? statusIntervalMs : urgentStatusIntervalMs;
+			this.#schedulePoll(member, Math.max(10, intervalMs - (timers.nowMs() - startedMs)));
+		}
+	}
+
+	#wake(): void {
+		for (const waiter of this.#waiters.splice(0)) {
+			waiter();
+		}
+	}
+}
+
+/** Whether `a` is ahead of `b`. */
+export const isAhead = (a: LogPosition, b: LogPosition): boolean => comparePositions(a, b) > 0;
--- /dev/null
+++ b/packages/pooler/src/group/index.ts
@@ -0,0 +1,4 @@
+/** What this host believes of the instances of each database. */
+export {ContinuityClock} from './continuity-clock.js';
+export {Group, isAhead, leadershipEvidenceMs, type GroupOptions} from './group.js';
+export {Member, type MemberOptions} from './member.js';
--- /dev/null
+++ b/packages/pooler/src/observability/pooler-metrics.ts
@@ -0,0 +1,34 @@
+import {Counter, Histogram, Registry} from 'prom-client';
+
+/** Upper bounds of latency buckets, in seconds; they cover statement timeouts of up to 3 s. */
+const latencyBucketsSeconds = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
+
+/** Counters and histograms of one process. Labels have few values; databases and ids are not labels. */
+export class PoolerMetrics {
+	readonly registry = new Registry();
+	readonly #requests = new Counter({
+		name: 'dogwood_requests_total', help: 'Statements of clients by consistency and outcome', labelNames: ['consistency', 'outcome'], registers: [this.registry],
+	});
+
+	readonly #latency = new Histogram({
+		name: 'dogwood_request_seconds', help: 'Time from a statement to its answer', labelNames: ['consistency', 'stage'], buckets: latencyBucketsSeconds, registers: [this.registry],
+	});
+
+	readonly #events = new Counter({
+		name: 'dogwood_events_total', help: 'Changes of belief, connections and control actions by event', labelNames: ['event'], registers: [this.registry],
+	});
+
+	request(consistency: string, outcome: string, totalMs: number): void {
+		this.#requests.inc({consistency, outcome});
+		this.#latency.observe({consistency, stage: 'total'}, totalMs / 1000);
+	}
+
+	/** Time that a statement spent in one stage: waiting for a connection, or at the endpoint. */
+	stage(consistency: string, stage: 'waiting' | 'endpoint', durationMs: number): void {
+		this.#latency.observe({consistency, stage}, durationMs / 1000);
+	}
+
+	event(event: string, count = 1): void {
+		this.#events.inc({event}, count);
+	}
+}
--- /dev/null
+++ b/packages/pooler/src/pool/index.ts
@@ -0,0 +1,6 @@
+/** Connections to endpoints. */
+export {ConnectionPool, type ConnectionPoolOptions} from './connection-pool.js';
+export {PooledConnection} from './pooled-connection.js';
+export type {
+	AcquireError, AcquireErrorKind, AcquireRequest, ConnectionShare,
+} from './definitions.js';
--- /dev/null
+++ b/packages/pooler/src/routing/index.ts
@@ -0,0 +1,2 @@
+/** Choice of the endpoint for a statement. */
+export {chooseReader, type ReaderRequest} from './choose-reader.js';
--- /dev/null
+++ b/packages/pooler/src/session/errors.ts
@@ -0,0 +1,41 @@
+import {type ErrorCode} from '../statement/index.js';
+
+/** A statement that ended without success; the message names the remedy. */
+export type StatementFailure = {
+	code: ErrorCode;
+	/** Stable name of the reason, for logs and metrics. */
+	reason: FailureReason;
+	text: string;
+	/** Whether the endpoint's own words are passed on. */
+	fromEndpoint?: boolean;
+};
+
+export type FailureReason =
+	| 'unknown-database' | 'unknown-service' | 'malformed' | 'unknown-statement' | 'transaction-failed' | 'no-transaction'
+	| 'leader-unknown' | 'leadership-unproven' | 'position-unknown' | 'no-reader' | 'no-connection' | 'connection-lost'
+	| 'endpoint-silent' | 'endpoint-error' | 'idle-in-transaction' | 'shutting-down';
+
+const catalogue: Record<FailureReason, {code: ErrorCode; text: string}> = {
+	'unknown-database': {code: 'unknown-database', text: 'no database of this name is configured; check the name'},
+	'unknown-service': {code: 'busy', text: 'the database has no instances at present; retry after 500 ms'},
+	malformed: {code: 'malformed', text: 'the statement cannot be parsed; correct it'},
+	'unknown-statement': {code: 'unknown-statement', text: 'no prepared statement of this name; prepare it first'},
+	'transaction-failed': {code: 'aborted', text: 'the transaction failed earlier and was rolled back; repeat it as a whole'},
+	'no-transaction': {code: 'malformed', text: 'no transaction is open; begin one first'},
+	'leader-unknown': {code: 'busy', text: 'the database has no primary at present; retry after 500 ms'},
+	'leadership-unproven': {code: 'busy', text: 'the primary may have been replaced; retry after 300 ms'},
+	'position-unknown': {code: 'busy', text: 'the state of the log is not known at present; retry after 300 ms'},
+	'no-reader': {code: 'busy', text: 'no instance can serve the read at present; retry after 200 ms'},
+	'no-connection': {code: 'busy', text: 'all connections are in use; retry after 100 ms'},
+	'connection-lost': {code: 'in-doubt', text: 'the connection to the instance ended before its answer; read back before repeating'},
+	'endpoint-silent': {code: 'timeout', text: 'the instance did not answer in time; read back before repeating'},
+	'endpoint-error': {code: 'failed', text: 'the instance refused the statement'},
+	'idle-in-transaction': {code: 'aborted', text: 'the transaction was idle for too long and was rolled back; repeat it'},
+	'shutting-down': {code: 'aborted', text: 'this host is stopping and rolled the transaction back; repeat it on a new connection'},
+};
+
+export const statementFailure = (reason: FailureReason): StatementFailure => ({reason, ...catalogue[reason]});
+
+/** Passes on what the endpoint said. */
+export const endpointFailure = ({code, text}: {code: ErrorCode; text: string}): StatementFailure =>
+	({code, text, reason: 'endpoint-error', fromEndpoint: true});
--- /dev/null
+++ b/packages/pooler/src/session/session.ts
@@ -0,0 +1,280 @@
+import {type RetryBudget} from '@dogwoodthread/coordination';
+import {type Result} from 'neverthrow';
+import {type Catalog, type Route} from '../catalog/index.js';
+import {type EndpointAnswer} from '../endpoint/index.js';
+import {type Group} from '../group/index.js';
+import {isSampled} from '../observability/index.js';
+import {type ClientAnswer, type ClientStatement, type TransactionState} from '../statement/index.js';
+import {statementFailure, type StatementFailure} from './errors.js';
+import {type Operation, type OperationContext} from './operation.js';
+import {
+	runBoundedRead, runPrimaryRead, runSingleWrite, type SingleStatement,
+} from './run-single.js';
+import {SessionState} from './session-state.js';
+import {Transaction} from './transaction.js';
+
+export type SessionContext = OperationContext & {
+	catalog: Catalog;
+	groupOf: (service: string) => Group | undefined;
+	hedges: RetryBudget;
+};
+
+type Executable = Extract<ClientStatement, {kind: 'read' | 'write' | 'execute'}>;
+
+const noSignature = '-';
+/** Times over the objective at which a served statement is logged in any case. */
+const slowFactor = 1;
+
+/** One client's connection: its values, prepared statements and transaction. Statements come one at a time. */
+export class Session {
+	readonly #state = new SessionState();
+	#transaction: Transaction | undefined;
+	#transactionRoute: Route | undefined;
+	#expired: 'idle-in-transaction' | 'shutting-down' | undefined;
+	#isBusy = false;
+
+	constructor(readonly database: string, private readonly context: SessionContext) {}
+
+	get transactionState(): TransactionState {
+		if (!this.#transaction) {
+			return 'idle';
+		}
+
+		return this.#transaction.state === 'failed' ? 'failed' : 'open';
+	}
+
+	async handle(statement: ClientStatement): Promise<ClientAnswer> {
+		this.#isBusy = true;
+		try {
+			return await this.#handle(statement);
+		} finally {
+			this.#isBusy = false;
+		}
+	}
+
+	async #handle(statement: ClientStatement): Promise<ClientAnswer> {
+		const expired = this.#expired;
+		this.#expired = undefined;
+		if (expired && statement.kind !== 'rollback') {
+			if (statement.kind === 'commit') {
+				this.#endTransaction();
+			}
+
+			return this.#failed(statementFailure(expired));
+		}
+
+		if (this.transactionState === 'failed' && statement.kind !== 'rollback' && statement.kind !== 'commit') {
+			return this.#failed(statementFailure('malformed'), 'the transaction has failed; roll it back first');
+		}
+
+		switch (statement.kind) {
+			case 'begin': {
+				return this.#begin(statement.readOnly);
+			}
+
+			case 'commit': {
+				return this.#commit(statement.id);
+			}
+
+			case 'rollback': {
+				return this.#rollback();
+			}
+
+			case 'read':
+			case 'write':
+			case 'execute': {
+				return this.#execute(statement);
+			}
+
+			case 'set': {
+				this.#state.values.set(statement.name, statement.value);
+				return this.#done();
+			}
+
+			case 'prepare': {
+				this.#state.prepare(statement.name, statement.access, statement.shape);
+				return this.#done();
+			}
+
+			case 'deallocate': {
+				this.#state.prepared.delete(statement.name);
+				return this.#done();
+			}
+
+			case 'malformed': {
+				return this.#failed(statementFailure('malformed'), statement.reason);
+			}
+		}
+	}
+
+	/**
+	 * Rolls an open transaction back while the client rests. It learns of it with its next statement, since it
+	 * expects no message before that.
+	 */
+	expireTransaction(reason: 'idle-in-transaction' | 'shutting-down'): void {
+		if (this.#transaction?.state === 'open' && !this.#isBusy) {
+			this.#transaction.expire();
+			this.#expired = reason;
+		}
+	}
+
+	/** The client's connection ended. */
+	close(): void {
+		this.#endTransaction();
+	}
+
+	#begin(readOnly: boolean): ClientAnswer {
+		if (this.#transaction) {
+			return this.#failed(statementFailure('malformed'), 'a transaction is open already');
+		}
+
+		const route = this.context.catalog.route(this.database);
+		if (!route) {
+			return this.#failed(statementFailure('unknown-database'));
+		}
+
+		this.#transactionRoute = route;
+		this.#transaction = new Transaction({
+			readOnly, session: this.#state, context: this.context, beganAtMs: this.context.timers.nowMs(),
+		});
+		return this.#done();
+	}
+
+	async #commit(id: string): Promise<ClientAnswer> {
+		const transaction = this.#transaction;
+		if (!transaction) {
+			return this.#failed(statementFailure('no-transaction'));
+		}
+
+		if (transaction.state === 'failed') {
+			this.#endTransaction();
+			return this.#failed(statementFailure('transaction-failed'));
+		}
+
+		const operation = this.#operation(id, this.#transactionRoute!);
+		if (!operation) {
+			this.#endTransaction();
+			return this.#failed({...statementFailure('transaction-failed'), reason: 'unknown-service'});
+		}
+
+		const result = await transaction.commit(operation);
+		this.#endTransaction();
+		return this.#answer(operation, result, 'commit');
+	}
+
+	#rollback(): ClientAnswer {
+		if (!this.#transaction) {
+			return this.#failed(statementFailure('no-transaction'));
+		}
+
+		this.#endTransaction();
+		return this.#done();
+	}
+
+	async #execute(statement: Executable): Promise<ClientAnswer> {
+		const prepared = statement.kind === 'execute' ? this.#state.prepared.get(statement.name) : undefined;
+		if (statement.kind === 'execute' && !prepared) {
+			return this.#failed(statementFailure('unknown-statement'));
+		}
+
+		const route = this.#transactionRoute ?? this.context.catalog.route(this.database);
+		if (!route) {
+			return this.#failed(statementFailure('unknown-database'));
+		}
+
+		const operation = this.#operation(statement.id, route);
+		if (!operation) {
+			return this.#failed(statementFailure('unknown-service'));
+		}
+
+		const single: SingleStatement = {
+			prepared,
+			command: statement.kind === 'execute'
+				? {
+					kind: 'execute', id: statement.id, name: prepared!.sharedName, argument: statement.argument,
+				}
+				: statement,
+		};
+		const isWrite = statement.kind === 'write' || prepared?.access === 'write';
+		const result = this.#transaction
+			? await this.#transaction.run(single, isWrite, operation)
+			: await this.#runSingle(single, isWrite, operation);
+		return this.#answer(operation, result, isWrite ? 'write' : 'read');
+	}
+
+	async #runSingle(single: SingleStatement, isWrite: boolean, operation: Operation): Promise<Result<EndpointAnswer, StatementFailure>> {
+		if (isWrite) {
+			return runSingleWrite(single, operation, this.context);
+		}
+
+		return operation.route.consistency === 'primary'
+			? runPrimaryRead(single, operation, this.context)
+			: runBoundedRead(single, operation, this.context);
+	}
+
+	#operation(id: string, route: Route): Operation | undefined {
+		const group = this.context.groupOf(route.service);
+		const nowMs = this.context.timers.nowMs();
+		return group && {
+			id, route, group, session: this.#state, arrivedAtMs: nowMs, deadlineMs: nowMs + route.statementTimeoutMs, attempts: 0,
+		};
+	}
+
+	#endTransaction(): void {
+		this.#transaction?.abort();
+		this.#transaction = undefined;
+		this.#transactionRoute = undefined;
+	}
+
+	#answer(operation: Operation, result: Result<EndpointAnswer, StatementFailure>, statementKind: string): ClientAnswer {
+		this.#report(operation, result, statementKind);
+		if (result.isErr()) {
+			return this.#failed(result.error);
+		}
+
+		return {
+			rows: result.value.rows,
+			outcome: {kind: 'done', signature: result.value.signature ?? noSignature},
+			transaction: this.transactionState,
+		};
+	}
+
+	#report(operation: Operation, result: Result<EndpointAnswer, StatementFailure>, statementKind: string): void {
+		const {timers, events, metrics, catalog} = this.context;
+		const {route, group, id, arrivedAtMs, attempts} = operation;
+		const totalMs = timers.nowMs() - arrivedAtMs;
+		const code = result.isOk() ? 'served' : result.error.code;
+		metrics.request(route.consistency, code, totalMs);
+		if (result.isOk() && totalMs <= slowFactor * route.latencyObjectiveMs && !isSampled(id)) {
+			return;
+		}
+
+		const {leader} = group;
+		const isRefusal = result.isErr() && (code === 'busy' || code === 'lagging' || code === 'read-only' || code === 'aborted');
+		events.write(result.isOk() ? 'request-served' : isRefusal ? 'request-refused' : 'request-failed', {
+			requestId: id,
+			database: this.database,
+			service: route.service,
+			statementKind,
+			consistency: route.consistency,
+			code,
+			reason: result.isErr() ? result.error.reason : undefined,
+			detail: result.isErr() && result.error.fromEndpoint ? result.error.text : undefined,
+			totalMs: Math.round(totalMs),
+			attempts,
+			inTransaction: this.#transaction !== undefined,
+			configurationVersion: catalog.version,
+			leader: leader?.id ?? 'none',
+			term: group.term,
+			leaderStatusAgeMs: leader ? Math.round(timers.nowMs() - leader.statusAskedAtMs) : undefined,
+		});
+	}
+
+	#done(): ClientAnswer {
+		return {rows: [], outcome: {kind: 'done', signature: noSignature}, transaction: this.transactionState};
+	}
+
+	#failed({code, text}: StatementFailure, detail = text): ClientAnswer {
+		return {rows: [], outcome: {kind: 'error', code, text: detail}, transaction: this.transactionState};
+	}
+}
