Ask for a status only when nothing else answers

Change: answers of traffic show that an endpoint lives; an acknowledged commit bounds the log and proves the primary; a status is asked for when those are silent, in doubt, or a bound is missing. Ruled out: wrapping fewer reads, which is a tenth of those requests.

--- a/packages/pooler/src/endpoint/definitions.ts
+++ b/packages/pooler/src/endpoint/definitions.ts
@@ -8,8 +8,9 @@
 	| {kind: 'read' | 'write'; id: string; text: string; after?: LogPosition}
 	| {kind: 'execute'; id: string; name: string; argument: string; after?: LogPosition}
 	| {kind: 'commit'; id: string}
-	| {kind: 'begin'; readOnly: boolean; after?: LogPosition}
-	| {kind: 'rollback'}
+	/** `id` is that of the client's own statement, if it sent one. */
+	| {kind: 'begin'; id?: string; readOnly: boolean; after?: LogPosition}
+	| {kind: 'rollback'; id?: string}
 	| {kind: 'reset'}
 	| {kind: 'status'}
 	| {kind: 'resume'}
--- a/packages/pooler/src/group/group.ts
+++ b/packages/pooler/src/group/group.ts
@@ -18,10 +18,18 @@
 /** Every commit acknowledged before `askedAtMs` is at or before `position`. */
 type PositionBound = {askedAtMs: number; position: LogPosition; epoch: number};
 
-/** Interval at which each member is asked for its status, in ms. */
-const statusIntervalMs = 300;
-/** The same while no primary is known. */
+/** Interval at which a group looks whether a member must be asked for its status, in ms. */
+const checkIntervalMs = 100;
+/** A primary that answered nothing for this long is asked, in ms. Every status request is charged. */
+const quietLeaderMs = 1000;
+/** The same for a replica. */
+const quietReplicaMs = 2500;
+/** Interval between status requests while there is doubt about the primary, in ms. */
 const urgentStatusIntervalMs = 100;
+/** A write without an answer for this long is a reason for doubt, in ms. */
+const slowWriteMs = 500;
+/** A bound that would soon be too old is renewed this long before, in ms. */
+const boundRenewalMs = 250;
 /** Longest time for a status answer, in ms; it may queue behind statements. */
 const statusTimeoutMs = 800;
 /**
@@ -30,6 +38,8 @@
  * starts.
  */
 export const leadershipEvidenceMs = 500;
+/** Time after which another replica is asked for a proof, in ms. */
+const proofTimeoutMs = 150;
 /** An entry that is missing for this long belongs to an endpoint that is gone, in ms. */
 const missingRetentionMs = 5000;
 /** Bounds older than this serve no route, in ms. */
@@ -47,12 +57,15 @@
 	#unfencedEpoch = -1;
 	#bounds: PositionBound[] = [];
 	#waiters: Array<() => void> = [];
-	#polls = new Map<Member, TimerSubscription>();
+	readonly #checks: TimerSubscription;
 	#closed = false;
 
 	constructor(private readonly options: GroupOptions) {
 		this.#limits = options.limits;
 		this.#leaderlessSinceMs = options.timers.nowMs();
+		this.#checks = options.timers.every(checkIntervalMs, () => {
+			this.#check();
+		});
 	}
 
 	get service(): string {
@@ -104,6 +117,7 @@
 
 	close(): void {
 		this.#closed = true;
+		this.#checks.cancel();
 		for (const member of this.members.values()) {
 			this.#remove(member, 'service-removed');
 		}
@@ -111,10 +125,10 @@
 		this.#wake();
 	}
 
-	/** Polls again at once, e.g. after an answer that contradicts what is believed. */
+	/** Asks every member, e.g. after an answer that contradicts what is believed. */
 	pollSoon(): void {
 		for (const member of this.members.values()) {
-			this.#schedulePoll(member, 0);
+			this.#pollOnce(member);
 		}
 	}
 
@@ -133,22 +147,36 @@
 			|| (this.#unfencedEpoch === this.options.clock.epoch() && atMs - this.#unfencedAskedAtMs <= leadershipEvidenceMs);
 	}
 
-	/** Asks replicas until one says that it is not fenced, or `deadlineMs` has come. */
+	/** Asks a replica whether it is fenced, until one says that it is not or `deadlineMs` has come. */
 	async proveLeadership(atMs: number, deadlineMs: number): Promise<boolean> {
+		const tried = new Set<Member>();
 		while (!this.isLeadershipProven(atMs) && this.options.timers.nowMs() < deadlineMs && this.#leader) {
-			const replicas = [...this.members.values()].filter(member => member !== this.#leader);
-			// eslint-disable-next-line no-await-in-loop
-			await Promise.race([
-				this.options.timers.sleep(Math.min(statusTimeoutMs, deadlineMs - this.options.timers.nowMs())),
-				...replicas.map(async member => this.poll(member)),
-			]);
+			const replica = this.#leastLoadedReplica(tried);
+			if (!replica) {
+				return false;
+			}
+
+			tried.add(replica);
 			// eslint-disable-next-line no-await-in-loop
-			await this.options.timers.sleep(5);
+			await Promise.race([this.poll(replica), this.options.timers.sleep(proofTimeoutMs)]);
 		}
 
 		return this.isLeadershipProven(atMs);
 	}
 
+	/**
+	 * A commit was acknowledged that was sent at `sentAtMs`: a replica received it, so neither had the primary
+	 * stepped down nor were all replicas fenced by then.
+	 */
+	noteCommit(member: Member, sentAtMs: number, position: LogPosition | undefined): void {
+		if (member !== this.#leader || !position || this.#limits.syncReplicas === 0) {
+			return;
+		}
+
+		this.#noteUnfenced(sentAtMs);
+		this.#addBound(sentAtMs, position);
+	}
+
 	/**
 	 * Oldest known position that bounds all commits acknowledged before `sinceMs`; the older it is, the more
 	 * replicas have it.
@@ -158,16 +186,20 @@
 		return this.#bounds.find(bound => bound.epoch === epoch && bound.askedAtMs >= sinceMs)?.position;
 	}
 
-	/** As `boundSince`, asking the members if nothing is known. */
+	/** As `boundSince`, asking the members if nothing is known, or renewing in advance what will soon be too old. */
 	async awaitBoundSince(sinceMs: number, deadlineMs: number): Promise<LogPosition | undefined> {
 		for (;;) {
 			const known = this.boundSince(sinceMs);
 			const leftMs = deadlineMs - this.options.timers.nowMs();
+			if (known && !this.boundSince(sinceMs + boundRenewalMs)) {
+				this.#pollForBound();
+			}
+
 			if (known || leftMs <= 0 || this.#closed) {
 				return known;
 			}
 
-			this.pollSoon();
+			this.#pollForBound();
 			// eslint-disable-next-line no-await-in-loop
 			await this.waitForChange(Math.min(leftMs, urgentStatusIntervalMs));
 		}
@@ -185,14 +217,76 @@
 	}
 
 	async poll(member: Member): Promise<void> {
+		const {timers} = this.options;
+		member.lastPollAtMs = timers.nowMs();
+		member.isPolling = true;
 		const status = await member.control({kind: 'status'}, statusTimeoutMs);
-		if (status) {
+		member.isPolling = false;
+		if (status && this.members.get(member.id) === member) {
 			this.#learn(member);
 		}
 
 		this.#wake();
 	}
 
+	#pollOnce(member: Member): void {
+		if (!member.isPolling) {
+			void this.poll(member);
+		}
+	}
+
+	/** Asks as few members as a bound needs: the primary, and the least loaded replicas. */
+	#pollForBound(): void {
+		const replicas = [...this.members.values()]
+			.filter(member => member !== this.#leader && member.failingForMs(this.options.timers.nowMs()) === 0)
+			.toSorted((a, b) => a.pool.inUse - b.pool.inUse);
+		const asked = [...(this.#leader ? [this.#leader] : []), ...replicas].slice(0, this.#answersForBound);
+		const missing = this.#answersForBound - asked.length;
+		for (const member of missing > 0 ? this.members.values() : asked) {
+			this.#pollOnce(member);
+		}
+	}
+
+	get #answersForBound(): number {
+		const tolerated = this.#limits.syncReplicas > 0 ? 1 : 0;
+		return Math.max(Math.min(2, this.members.size), this.members.size - tolerated);
+	}
+
+	#leastLoadedReplica(excluded: ReadonlySet<Member>): Member | undefined {
+		return [...this.members.values()]
+			.filter(member => member !== this.#leader && !excluded.has(member))
+			.toSorted((a, b) => (a.failingForMs(this.options.timers.nowMs()) - b.failingForMs(this.options.timers.nowMs())) || (a.pool.inUse - b.pool.inUse))[0];
+	}
+
+	/** Whether something speaks against the primary, so that all members are asked often. */
+	#isInDoubt(nowMs: number): boolean {
+		const leader = this.#leader;
+		return !leader || leader.failingForMs(nowMs) > 0 || leader.endpoint.state === 'draining' || leader.oldestWriteMs(nowMs) > slowWriteMs;
+	}
+
+	#check(): void {
+		const nowMs = this.options.timers.nowMs();
+		const isInDoubt = this.#isInDoubt(nowMs);
+		for (const member of this.members.values()) {
+			if (member.missingSinceMs !== undefined && nowMs - member.missingSinceMs > missingRetentionMs) {
+				this.#remove(member, 'entry-missing');
+			} else if (this.#isPollDue(member, isInDoubt, nowMs)) {
+				this.#pollOnce(member);
+			}
+
+			member.pool.maintain();
+		}
+	}
+
+	#isPollDue(member: Member, isInDoubt: boolean, nowMs: number): boolean {
+		if (isInDoubt || member.failingForMs(nowMs) > 0) {
+			return nowMs - member.lastPollAtMs >= (member.endpoint.state === 'draining' ? quietLeaderMs : urgentStatusIntervalMs);
+		}
+
+		const quietMs = nowMs - Math.max(member.lastAnswerAtMs, member.lastPollAtMs);
+		return quietMs > (member === this.#leader ? quietLeaderMs : quietReplicaMs);
+	}
+
 	#learn(member: Member): void {
 		const status = member.status!;
 		if (status.role === 'primary' && status.term >= this.#leaderTerm) {
@@ -203,8 +297,7 @@
 		}
 
 		if (member !== this.#leader && status.role === 'replica' && status.fencedTerm <= this.#leaderTerm && status.term <= this.#leaderTerm) {
-			this.#unfencedAskedAtMs = Math.max(this.#unfencedAskedAtMs, member.statusAskedAtMs);
-			this.#unfencedEpoch = this.options.clock.epoch();
+			this.#noteUnfenced(member.statusAskedAtMs);
 		}
 
 		this.#updateBounds();
@@ -218,15 +311,16 @@
 		const answered = [...this.members.values()]
 			.filter(({status}) => status !== undefined)
 			.toSorted((a, b) => b.statusAskedAtMs - a.statusAskedAtMs);
-		const tolerated = this.#limits.syncReplicas > 0 ? 1 : 0;
-		const needed = Math.max(Math.min(2, this.members.size), this.members.size - tolerated);
-		if (answered.length < needed) {
+		if (answered.length < this.#answersForBound) {
 			return;
 		}
 
-		const asked = answered.slice(0, needed);
-		const askedAtMs = asked.at(-1)!.statusAskedAtMs;
+		const asked = answered.slice(0, this.#answersForBound);
 		const position = asked.map(({status}) => status!.received).reduce((a, b) => maxPosition(a, b), zeroPosition);
+		this.#addBound(asked.at(-1)!.statusAskedAtMs, position);
+	}
+
+	#addBound(askedAtMs: number, position: LogPosition): void {
 		const epoch = this.options.clock.epoch();
 		const last = this.#bounds.at(-1);
 		if (!last || askedAtMs > last.askedAtMs) {
@@ -236,6 +330,11 @@
 		}
 	}
 
+	#noteUnfenced(askedAtMs: number): void {
+		this.#unfencedAskedAtMs = Math.max(this.#unfencedAskedAtMs, askedAtMs);
+		this.#unfencedEpoch = this.options.clock.epoch();
+	}
+
 	#setLeader(leader: Member | undefined, source: string): void {
 		if (leader === this.#leader) {
 			return;
@@ -260,7 +359,7 @@
 			this.options.events.write('endpoint-changed', {
 				service: this.service, endpointId: endpoint.endpointId, fromState: previous.state, toState: endpoint.state, fromRole: previous.role, toRole: endpoint.role,
 			});
-			this.#schedulePoll(member, 0);
+			this.#pollOnce(member);
 			this.#wake();
 		}
 	}
@@ -271,13 +370,11 @@
 		this.options.events.write('endpoint-appeared', {
 			service: this.service, endpointId: member.id, address: endpoint.address, state: endpoint.state, role: endpoint.role, failureDomain: endpoint.failureDomain,
 		});
-		this.#schedulePoll(member, 0);
+		this.#pollOnce(member);
 	}
 
 	#remove(member: Member, reason: string): void {
 		this.members.delete(member.id);
-		this.#polls.get(member)?.cancel();
-		this.#polls.delete(member);
 		member.pool.close();
 		this.options.events.write('endpoint-gone', {service: this.service, endpointId: member.id, reason});
 		if (this.#leader === member) {
@@ -285,29 +382,6 @@
 		}
 	}
 
-	#schedulePoll(member: Member, delayMs: number): void {
-		this.#polls.get(member)?.cancel();
-		this.#polls.set(member, this.options.timers.after(delayMs, () => {
-			void this.#pollAndRepeat(member);
-		}));
-	}
-
-	async #pollAndRepeat(member: Member): Promise<void> {
-		const {timers} = this.options;
-		if (member.missingSinceMs !== undefined && timers.nowMs() - member.missingSinceMs > missingRetentionMs) {
-			this.#remove(member, 'entry-missing');
-			return;
-		}
-
-		const startedMs = timers.nowMs();
-		await this.poll(member);
-		member.pool.maintain();
-		if (this.members.get(member.id) === member && !this.#closed) {
-			const intervalMs = this.#leader ? statusIntervalMs : urgentStatusIntervalMs;
-			this.#schedulePoll(member, Math.max(10, intervalMs - (timers.nowMs() - startedMs)));
-		}
-	}
-
 	#wake(): void {
 		for (const waiter of this.#waiters.splice(0)) {
 			waiter();
--- a/packages/pooler/src/group/member.ts
+++ b/packages/pooler/src/group/member.ts
@@ -32,6 +32,11 @@
 	receivedAdvancedAtMs = Number.NEGATIVE_INFINITY;
 	/** Set while the entry is missing from the catalog. */
 	missingSinceMs: number | undefined;
+	/** When the latest status request was sent. */
+	lastPollAtMs = Number.NEGATIVE_INFINITY;
+	isPolling = false;
+	/** Send times of writes and commits that are not answered yet. */
+	readonly pendingWrites = new Set<{sentAtMs: number}>();
 	/** Reads avoid the member until then, after it failed one. */
 	avoidedUntilMs = Number.NEGATIVE_INFINITY;
 	#drainingSinceMs: number | undefined;
@@ -70,6 +75,11 @@
 		return this.#failingSinceMs === undefined ? 0 : nowMs - this.#failingSinceMs;
 	}
 
+	/** How long the oldest write has been waiting for its answer, in ms. */
+	oldestWriteMs(nowMs: number): number {
+		return Math.max(0, ...[...this.pendingWrites].map(({sentAtMs}) => nowMs - sentAtMs));
+	}
+
 	noteAnswer(position?: LogPosition): void {
 		this.#lastAnswerAtMs = this.options.timers.nowMs();
 		this.#failingSinceMs = undefined;
--- a/packages/pooler/src/session/operation.ts
+++ b/packages/pooler/src/session/operation.ts
@@ -138,3 +138,16 @@
 		member.pool.closeIdle();
 	}
 }
+
+/** As `runOn`, for a command that commits a write. */
+export async function runCommitOn(held: HeldConnection, command: EndpointCommand, operation: Operation, timers: TimerService): Promise<RunResult> {
+	const pending = {sentAtMs: timers.nowMs()};
+	held.member.pendingWrites.add(pending);
+	const answer = await runOn(held, command, operation.deadlineMs - pending.sentAtMs, timers);
+	held.member.pendingWrites.delete(pending);
+	if (answer.isOk() && !answer.value.error) {
+		operation.group.noteCommit(held.member, pending.sentAtMs, answer.value.position);
+	}
+
+	return answer;
+}
--- a/packages/pooler/src/session/run-single.ts
+++ b/packages/pooler/src/session/run-single.ts
@@ -3,7 +3,7 @@
 import {type EndpointAnswer, type EndpointCommand} from '../endpoint/index.js';
 import {type Member} from '../group/index.js';
 import {
-	acquireLeader, acquireReader, discard, type HeldConnection, type Operation, type OperationContext, requiredPosition, runOn, type RunResult,
+	acquireLeader, acquireReader, discard, type HeldConnection, type Operation, type OperationContext, requiredPosition, runCommitOn, runOn, type RunResult,
 } from './operation.js';
 import {endpointFailure, statementFailure, type StatementFailure} from './errors.js';
 import {prepareConnection} from './prepare-connection.js';
@@ -69,7 +69,7 @@
 		return notRun(statementFailure('no-reader'));
 	}
 
-	const answer = await runOn(held, statement.command, leftMs(), context.timers);
+	const answer = await runCommitOn(held, statement.command, operation, context.timers);
 	if (answer.isErr()) {
 		discard(held, answer.error === 'silent');
 		return final(err(statementFailure(answer.error === 'lost' ? 'connection-lost' : 'endpoint-silent')));
--- a/packages/pooler/src/session/session.ts
+++ b/packages/pooler/src/session/session.ts
@@ -69,7 +69,7 @@
 
 		switch (statement.kind) {
 			case 'begin': {
-				return this.#begin(statement.readOnly);
+				return this.#begin(statement.id, statement.readOnly);
 			}
 
 			case 'commit': {
@@ -123,7 +123,7 @@
 		this.#endTransaction();
 	}
 
-	#begin(readOnly: boolean): ClientAnswer {
+	#begin(id: string, readOnly: boolean): ClientAnswer {
 		if (this.#transaction) {
 			return this.#failed(statementFailure('malformed'), 'a transaction is open already');
 		}
@@ -135,7 +135,7 @@
 
 		this.#transactionRoute = route;
 		this.#transaction = new Transaction({
-			readOnly, session: this.#state, context: this.context, beganAtMs: this.context.timers.nowMs(),
+			id, readOnly, session: this.#state, context: this.context, beganAtMs: this.context.timers.nowMs(),
 		});
 		return this.#done();
 	}
--- a/packages/pooler/src/session/transaction.ts
+++ b/packages/pooler/src/session/transaction.ts
@@ -2,7 +2,7 @@
 import {type EndpointAnswer, type EndpointCommand} from '../endpoint/index.js';
 import {endpointFailure, statementFailure, type StatementFailure} from './errors.js';
 import {
-	acquireLeader, acquireReader, discard, type HeldConnection, type Operation, type OperationContext, requiredPosition, runOn,
+	acquireLeader, acquireReader, discard, type HeldConnection, type Operation, type OperationContext, requiredPosition, runCommitOn, runOn,
 } from './operation.js';
 import {prepareConnection} from './prepare-connection.js';
 import {rollBack, type SingleStatement} from './run-single.js';
@@ -12,6 +12,8 @@
 const busyPauseMs = 20;
 
 export type TransactionOptions = {
+	/** Id of the `BEGIN`. */
+	id: string;
 	readOnly: boolean;
 	session: SessionState;
 	context: OperationContext;
@@ -61,7 +63,9 @@
 		}
 
 		const held = opened.value;
-		const answer = await runOn(held, {kind: 'commit', id: operation.id}, this.#leftMs(operation), this.options.context.timers);
+		const command = {kind: 'commit', id: operation.id} as const;
+		const {timers} = this.options.context;
+		const answer = this.#hasWritten ? await runCommitOn(held, command, operation, timers) : await runOn(held, command, this.#leftMs(operation), timers);
 		this.#state = 'ended';
 		this.#held = undefined;
 		if (answer.isErr()) {
@@ -166,6 +170,8 @@
 		let last = statementFailure('leader-unknown');
 		while (context.timers.nowMs() < operation.deadlineMs) {
 			const mayRead = this.options.readOnly && after;
+			// A client's id goes only with the text that the client sent.
+			const isSameText = Boolean(mayRead) === this.options.readOnly;
 			// eslint-disable-next-line no-await-in-loop
 			const acquired = mayRead ? await acquireReader(operation, after, excluded, context) : await acquireLeader(operation, context);
 			if (acquired.isErr()) {
@@ -177,7 +183,9 @@
 				excluded.clear();
 			} else {
 				// eslint-disable-next-line no-await-in-loop
-				const begun = await this.#beginOn(acquired.value, {kind: 'begin', readOnly: Boolean(mayRead), after}, operation);
+				const begun = await this.#beginOn(acquired.value, {
+					kind: 'begin', id: isSameText ? this.options.id : undefined, readOnly: Boolean(mayRead), after,
+				}, operation);
 				if (begun.isOk()) {
 					return begun;
 				}
