Bound the work of hosts whose primary or replicas are out of reach

Change: a member that gives no connection is passed over, and a pause follows; on-demand status requests at most one a member and 50 ms; one connection attempt at a time at an endpoint that did not answer; writes are refused at once while the primary confirms none and no replica answers; a primary without replicas in reach serves reads as long as no promoter has announced a term at the store; an isolated primary's replicas get 150 ms to catch up, not 1 s. Ruled out: replicas slow after the heal (they answered within 16 ms).

--- a/packages/pooler/src/daemon/pooler.ts
+++ b/packages/pooler/src/daemon/pooler.ts
@@ -3,7 +3,7 @@
 } from '@dogwoodthread/coordination';
 import {Catalog, type CatalogSource, type Endpoint, type ServiceLimits} from '../catalog/index.js';
 import {type EndpointConnector} from '../endpoint/index.js';
-import {DutyLease, FailoverDriver, type PromotionService} from '../failover/index.js';
+import {DutyLease, FailoverDriver, type PromotionService, TermAnnouncements} from '../failover/index.js';
 import {connectionShare, Fleet, type FleetHost} from '../fleet/index.js';
 import {ContinuityClock, Group, Member} from '../group/index.js';
 import {type EventLog, type PoolerMetrics} from '../observability/index.js';
@@ -30,6 +30,7 @@
 	readonly catalog = new Catalog();
 	readonly #groups = new Map<string, Group>();
 	readonly #clock: ContinuityClock;
+	readonly #announcements: TermAnnouncements;
 	readonly #fleet: Fleet;
 	readonly #failover: FailoverDriver;
 	readonly #hedges = new RetryBudget({ratio: hedgeRatio, burst: hedgeBurst});
@@ -40,9 +41,11 @@
 			events.write('clock-discontinuity', {jumpMs: Math.round(jumpMs)});
 		});
 		this.#fleet = new Fleet({platform, timers, events, self});
+		this.#announcements = new TermAnnouncements(platform);
 		this.#failover = new FailoverDriver({
 			lease: new DutyLease({platform, timers, clock: this.#clock, events, hostId: self.hostId}),
 			promotions,
+			announcements: this.#announcements,
 			timers,
 			events,
 			hostId: self.hostId,
@@ -116,6 +119,7 @@
 		const {timers, events, connector} = this.options;
 		const group: Group = new Group({
 			service, limits, timers, clock: this.#clock, events,
+			announcedTerm: async () => this.#announcements.read(service),
 			createMember: endpoint => new Member({
 				endpoint, timers, connector, pool: this.#createPool(endpoint, () => group.limits),
 			}),
--- a/packages/pooler/src/failover/failover-driver.ts
+++ b/packages/pooler/src/failover/failover-driver.ts
@@ -5,10 +5,12 @@
 import {type DutyLease} from './duty-lease.js';
 import {failoverReason} from './failover-reason.js';
 import {ReplaceLeader} from './replace-leader.js';
+import {type TermAnnouncements} from './term-announcements.js';
 
 export type FailoverDriverOptions = {
 	lease: DutyLease;
 	promotions: PromotionService;
+	announcements: TermAnnouncements;
 	timers: TimerService;
 	events: EventLog;
 	hostId: string;
@@ -77,7 +79,7 @@
 	}
 
 	async #replace(group: Group): Promise<void> {
-		const {lease, promotions, timers, events, hostId} = this.options;
+		const {lease, promotions, announcements, timers, events, hostId} = this.options;
 		const suspicion = this.#suspicions.get(group.service)!;
 		const held = await lease.acquire();
 		if (!held) {
@@ -89,7 +91,7 @@
 		if (reason) {
 			const startedMs = timers.nowMs();
 			const result = await new ReplaceLeader({
-				group, reason, lease: held, promotions, timers, events, hostId,
+				group, reason, lease: held, promotions, announcements, timers, events, hostId,
 			}).run();
 			events.write(result.isOk() ? 'promotion-finished' : 'promotion-abandoned', {
 				service: group.service,
--- a/packages/pooler/src/failover/replace-leader.ts
+++ b/packages/pooler/src/failover/replace-leader.ts
@@ -7,12 +7,14 @@
 import {type EventLog} from '../observability/index.js';
 import {type FailoverReason, type PromotionService} from './definitions.js';
 import {type HeldLease} from './duty-lease.js';
+import {type TermAnnouncements} from './term-announcements.js';
 
 export type ReplaceLeaderOptions = {
 	group: Group;
 	reason: FailoverReason;
 	lease: HeldLease;
 	promotions: PromotionService;
+	announcements: TermAnnouncements;
 	timers: TimerService;
 	events: EventLog;
 	hostId: string;
@@ -22,6 +24,8 @@
 const commandTimeoutMs = 500;
 /** Time that replicas get to receive what the old primary wrote last, in ms; they usually have it at once. */
 const catchUpMs = 1000;
+/** The same if the replicas received nothing before either, in ms. */
+const isolatedCatchUpMs = 150;
 const catchUpPollMs = 30;
 /** Time that a promotion gets to show, in ms; the slowest platform known takes 1,000. */
 const effectMs = 2500;
@@ -46,7 +50,7 @@
 	constructor(private readonly options: ReplaceLeaderOptions) {}
 
 	async run(): Promise<Result<Member, string>> {
-		const {group, events, reason, lease} = this.options;
+		const {group, events, reason, lease, announcements} = this.options;
 		const old = group.leader;
 		const term = Math.max(group.term, ...[...group.members.values()].map(({status}) => status?.fencedTerm ?? 0)) + 1;
 		events.write('promotion-started', {
@@ -55,6 +59,8 @@
 		const candidate = await this.#chooseCandidate(old, term);
 		if (candidate.isErr()) {
 			await this.#resumeFenced();
+			// Nothing was ordered, so the term will not start: hosts may rely on the present one again.
+			await announcements.announce(group.service, Math.min(group.term, term - 1));
 			return err(candidate.error);
 		}
 
@@ -66,6 +72,10 @@
 
 		const isLeading = await this.#awaitEffect(candidate.value);
 		await this.#resumeFenced(candidate.value);
+		if (isLeading) {
+			await announcements.announce(group.service, group.term);
+		}
+
 		return isLeading ? ok(candidate.value) : err('the endpoint did not become primary in time');
 	}
 
@@ -75,6 +85,10 @@
 			return err('no replica is ready to take over');
 		}
 
+		if (!await this.options.announcements.announce(this.options.group.service, term)) {
+			return err('the term could not be announced at the store');
+		}
+
 		const end = old && await this.#stepDown(old, term);
 		if (end) {
 			const caughtUp = await this.#awaitCaughtUp(replicas, end);
@@ -94,8 +108,8 @@
 	}
 
 	async #awaitCaughtUp(replicas: readonly Member[], end: LogPosition): Promise<Member | undefined> {
-		const {timers} = this.options;
-		const deadlineMs = timers.nowMs() + catchUpMs;
+		const {timers, reason} = this.options;
+		const deadlineMs = timers.nowMs() + (reason === 'leader-isolated' ? isolatedCatchUpMs : catchUpMs);
 		do {
 			// eslint-disable-next-line no-await-in-loop
 			const votes = await this.#askAll(replicas, {kind: 'status'});
--- a/packages/pooler/src/group/group.ts
+++ b/packages/pooler/src/group/group.ts
@@ -13,6 +13,8 @@
 	clock: ContinuityClock;
 	events: EventLog;
 	createMember: (endpoint: Endpoint) => Member;
+	/** Highest term that a promoter has announced for the group; undefined if the store does not answer. */
+	announcedTerm: () => Promise<number | undefined>;
 };
 
 /** Every commit acknowledged before `askedAtMs` is at or before `position`. */
@@ -25,9 +27,17 @@
 /** The same for a replica. */
 const quietReplicaMs = 2500;
 /** Interval between status requests while there is doubt about the primary, in ms. */
-const urgentStatusIntervalMs = 100;
+const urgentStatusIntervalMs = 200;
+/** Interval between status requests to a replica that does not answer, in ms. */
+const failingReplicaIntervalMs = 500;
+/** Requests that wait for a bound or a proof ask a member no more often than this, in ms. */
+const onDemandIntervalMs = 50;
 /** A write without an answer for this long is a reason for doubt, in ms. */
 const slowWriteMs = 500;
+/** Writes unconfirmed for this long mean that the primary cannot reach its replicas, in ms. */
+const stallMs = 700;
+/** A member that answers nothing for this long is not counted on, in ms. */
+const unresponsiveMs = 500;
 /** A bound that would soon be too old is renewed this long before, in ms. */
 const boundRenewalMs = 250;
 /** Longest time for a status answer, in ms; it may queue behind statements. */
@@ -58,6 +68,7 @@
 	#bounds: PositionBound[] = [];
 	#waiters: Array<() => void> = [];
 	readonly #checks: TimerSubscription;
+	#announcement: Promise<void> | undefined;
 	#closed = false;
 
 	constructor(private readonly options: GroupOptions) {
@@ -89,6 +100,17 @@
 		return this.#leaderlessSinceMs;
 	}
 
+	/** Whether the primary confirms no writes, or answers nothing at all. */
+	isLeaderStalled(nowMs: number): boolean {
+		const leader = this.#leader;
+		return leader !== undefined && (leader.stalledForMs(nowMs) > stallMs || leader.failingForMs(nowMs) > unresponsiveMs);
+	}
+
+	/** Whether a promotion may still help: a replica answers, or none was asked long enough to tell. */
+	hasHope(nowMs: number): boolean {
+		return [...this.members.values()].some(member => member !== this.#leader && member.failingForMs(nowMs) < unresponsiveMs);
+	}
+
 	/** Takes over the endpoints that the catalog lists at present. */
 	update(endpoints: readonly Endpoint[], limits: ServiceLimits): void {
 		this.#limits = limits;
@@ -153,7 +175,9 @@
 		while (!this.isLeadershipProven(atMs) && this.options.timers.nowMs() < deadlineMs && this.#leader) {
 			const replica = this.#leastLoadedReplica(tried);
 			if (!replica) {
-				return false;
+				// eslint-disable-next-line no-await-in-loop
+				await this.#proveByAnnouncement();
+				return this.isLeadershipProven(atMs);
 			}
 
 			tried.add(replica);
@@ -164,6 +188,25 @@
 		return this.isLeadershipProven(atMs);
 	}
 
+	/**
+	 * When no replica answers: a promoter announces its term at the store before it fences anyone, so the primary
+	 * leads as long as none is announced.
+	 */
+	async #proveByAnnouncement(): Promise<void> {
+		this.#announcement ??= this.#readAnnouncement();
+		await this.#announcement;
+		this.#announcement = undefined;
+	}
+
+	async #readAnnouncement(): Promise<void> {
+		const askedAtMs = this.options.timers.nowMs();
+		const epoch = this.options.clock.epoch();
+		const term = await this.options.announcedTerm();
+		if (term !== undefined && term <= this.#leaderTerm && epoch === this.options.clock.epoch()) {
+			this.#noteUnfenced(askedAtMs);
+		}
+	}
+
 	/**
 	 * A commit was acknowledged that was sent at `sentAtMs`: a replica received it, so neither had the primary
 	 * stepped down nor were all replicas fenced by then.
@@ -200,8 +243,9 @@
 			}
 
 			this.#pollForBound();
+			this.#proveForBound(deadlineMs);
 			// eslint-disable-next-line no-await-in-loop
-			await this.waitForChange(Math.min(leftMs, urgentStatusIntervalMs));
+			await this.waitForChange(Math.min(leftMs, 2 * onDemandIntervalMs));
 		}
 	}
 
@@ -230,11 +274,20 @@
 	}
 
 	#pollOnce(member: Member): void {
-		if (!member.isPolling) {
+		if (!member.isPolling && this.options.timers.nowMs() - member.lastPollAtMs >= onDemandIntervalMs) {
 			void this.poll(member);
 		}
 	}
 
+	/** With too few members in reach for a bound, the position of a proven primary is one. */
+	#proveForBound(deadlineMs: number): void {
+		const nowMs = this.options.timers.nowMs();
+		const inReach = [...this.members.values()].filter(member => member.failingForMs(nowMs) === 0).length;
+		if (inReach < this.#answersForBound && this.#leader) {
+			void this.proveLeadership(nowMs, deadlineMs);
+		}
+	}
+
 	/** Asks as few members as a bound needs: the primary, and the least loaded replicas. */
 	#pollForBound(): void {
 		const replicas = [...this.members.values()]
@@ -254,14 +307,14 @@
 
 	#leastLoadedReplica(excluded: ReadonlySet<Member>): Member | undefined {
 		return [...this.members.values()]
-			.filter(member => member !== this.#leader && !excluded.has(member))
-			.toSorted((a, b) => (a.failingForMs(this.options.timers.nowMs()) - b.failingForMs(this.options.timers.nowMs())) || (a.pool.inUse - b.pool.inUse))[0];
+			.filter(member => member !== this.#leader && !excluded.has(member) && member.failingForMs(this.options.timers.nowMs()) === 0)
+			.toSorted((a, b) => a.pool.inUse - b.pool.inUse)[0];
 	}
 
 	/** Whether something speaks against the primary, so that all members are asked often. */
 	#isInDoubt(nowMs: number): boolean {
 		const leader = this.#leader;
-		return !leader || leader.failingForMs(nowMs) > 0 || leader.endpoint.state === 'draining' || leader.oldestWriteMs(nowMs) > slowWriteMs;
+		return !leader || leader.failingForMs(nowMs) > 0 || leader.stalledForMs(nowMs) > slowWriteMs;
 	}
 
 	#check(): void {
@@ -279,8 +332,13 @@
 	}
 
 	#isPollDue(member: Member, isInDoubt: boolean, nowMs: number): boolean {
-		if (isInDoubt || member.failingForMs(nowMs) > 0) {
-			return nowMs - member.lastPollAtMs >= (member.endpoint.state === 'draining' ? quietLeaderMs : urgentStatusIntervalMs);
+		const sincePollMs = nowMs - member.lastPollAtMs;
+		if (isInDoubt) {
+			return sincePollMs >= urgentStatusIntervalMs;
+		}
+
+		if (member.failingForMs(nowMs) > 0) {
+			return sincePollMs >= failingReplicaIntervalMs;
 		}
 
 		const quietMs = nowMs - Math.max(member.lastAnswerAtMs, member.lastPollAtMs);
@@ -300,6 +358,10 @@
 			this.#noteUnfenced(member.statusAskedAtMs);
 		}
 
+		if (member === this.#leader && status.role === 'primary' && this.isLeadershipProven(member.statusAskedAtMs)) {
+			this.#addBound(member.statusAskedAtMs, status.received);
+		}
+
 		this.#updateBounds();
 	}
 
--- a/packages/pooler/src/group/member.ts
+++ b/packages/pooler/src/group/member.ts
@@ -41,6 +41,8 @@
 	avoidedUntilMs = Number.NEGATIVE_INFINITY;
 	#drainingSinceMs: number | undefined;
 	#failingSinceMs: number | undefined;
+	#confirmedSentAtMs = Number.NEGATIVE_INFINITY;
+	#unconfirmedSinceMs: number | undefined;
 	#lastAnswerAtMs = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly options: MemberOptions) {
@@ -75,9 +77,28 @@
 		return this.#failingSinceMs === undefined ? 0 : nowMs - this.#failingSinceMs;
 	}
 
-	/** How long the oldest write has been waiting for its answer, in ms. */
-	oldestWriteMs(nowMs: number): number {
-		return Math.max(0, ...[...this.pendingWrites].map(({sentAtMs}) => nowMs - sentAtMs));
+	/**
+	 * How long writes have gone unconfirmed, in ms. A later write that was confirmed shows that only single
+	 * answers were lost.
+	 */
+	stalledForMs(nowMs: number): number {
+		const sentAtMs = [...this.pendingWrites].map(write => write.sentAtMs).filter(sentMs => sentMs > this.#confirmedSentAtMs);
+		const since = Math.min(...sentAtMs, this.#unconfirmedSinceMs ?? Number.POSITIVE_INFINITY);
+		return Number.isFinite(since) ? nowMs - since : 0;
+	}
+
+	noteWriteConfirmed(sentAtMs: number): void {
+		this.#confirmedSentAtMs = Math.max(this.#confirmedSentAtMs, sentAtMs);
+		if (this.#unconfirmedSinceMs !== undefined && this.#unconfirmedSinceMs <= sentAtMs) {
+			this.#unconfirmedSinceMs = undefined;
+		}
+	}
+
+	/** A write ended without an answer. */
+	noteWriteUnconfirmed(sentAtMs: number): void {
+		if (sentAtMs > this.#confirmedSentAtMs) {
+			this.#unconfirmedSinceMs = Math.min(sentAtMs, this.#unconfirmedSinceMs ?? sentAtMs);
+		}
 	}
 
 	noteAnswer(position?: LogPosition): void {
--- a/packages/pooler/src/pool/connection-pool.ts
+++ b/packages/pooler/src/pool/connection-pool.ts
@@ -28,6 +28,8 @@
 const connectBackoffMs = 150;
 /** Connections of the endpoint that are left for hosts that have just started. */
 const reservedConnections = 4;
+/** Connections beyond the share that control commands may open when all others are in use. */
+const controlConnections = 1;
 /** Connections beyond the guaranteed share are closed after this time without use, in ms. */
 const surplusIdleMs = 2000;
 /** Weight of the newest sample in the moving average of the time that a connection is held. */
@@ -50,6 +52,7 @@
 	readonly #heldSinceMs = new Map<PooledConnection, number>();
 	#opening = 0;
 	#closed = false;
+	#lastAttemptFailed = false;
 	#retryAtMs = Number.NEGATIVE_INFINITY;
 	#retry: TimerSubscription | undefined;
 	#meanHoldMs = initialHoldMs;
@@ -195,11 +198,13 @@
 		const {guaranteed, maxConnections} = this.options.share();
 		return this.total < guaranteed
 			|| (this.#reportedConnections > 0 && this.#reportedConnections + this.#opening + reservedConnections < maxConnections)
-			|| this.#waiting.some(({request}) => request.mayExceedShare);
+			|| (this.total < guaranteed + controlConnections && this.#waiting.some(({request}) => request.mayExceedShare));
 	}
 
 	#openIfNeeded(): void {
-		if (this.#closed || this.#opening >= this.#waiting.length || !this.#mayOpen()) {
+		// An endpoint that did not answer gets one attempt at a time, so that it is not flooded when it is back.
+		const maxOpening = this.#lastAttemptFailed ? 1 : this.#waiting.length;
+		if (this.#closed || this.#waiting.length === 0 || this.#opening >= maxOpening || !this.#mayOpen()) {
 			return;
 		}
 
@@ -226,6 +231,7 @@
 		const result = await connector.connect(endpoint, connectTimeoutMs);
 		this.#opening -= 1;
 		onConnect?.(result.isErr() ? result.error : undefined, timers.nowMs() - startedMs);
+		this.#lastAttemptFailed = result.isErr();
 		if (result.isErr()) {
 			this.#retryAtMs = timers.nowMs() + connectBackoffMs;
 			this.#onConnectFailed();
--- a/packages/pooler/src/session/errors.ts
+++ b/packages/pooler/src/session/errors.ts
@@ -12,7 +12,7 @@
 
 export type FailureReason =
 	| 'unknown-database' | 'unknown-service' | 'malformed' | 'unknown-statement' | 'transaction-failed' | 'no-transaction'
-	| 'leader-unknown' | 'leadership-unproven' | 'position-unknown' | 'no-reader' | 'no-connection' | 'connection-lost'
+	| 'leader-unknown' | 'leader-stalled' | 'leadership-unproven' | 'position-unknown' | 'no-reader' | 'no-connection' | 'connection-lost'
 	| 'endpoint-silent' | 'endpoint-error' | 'idle-in-transaction' | 'shutting-down';
 
 const catalogue: Record<FailureReason, {code: ErrorCode; text: string}> = {
@@ -23,6 +23,7 @@
 	'transaction-failed': {code: 'aborted', text: 'the transaction failed earlier and was rolled back; repeat it as a whole'},
 	'no-transaction': {code: 'malformed', text: 'no transaction is open; begin one first'},
 	'leader-unknown': {code: 'busy', text: 'the database has no primary at present; retry after 500 ms'},
+	'leader-stalled': {code: 'busy', text: 'the primary confirms no writes and no replica answers; retry after 1000 ms'},
 	'leadership-unproven': {code: 'busy', text: 'the primary may have been replaced; retry after 300 ms'},
 	'position-unknown': {code: 'busy', text: 'the state of the log is not known at present; retry after 300 ms'},
 	'no-reader': {code: 'busy', text: 'no instance can serve the read at present; retry after 200 ms'},
--- a/packages/pooler/src/session/operation.ts
+++ b/packages/pooler/src/session/operation.ts
@@ -50,19 +50,26 @@
 }
 
 /**
- * The primary, once there is one. Waits for a promotion that is under way: it is over within the statement's
- * time more often than not, and the client has few repeats.
+ * The primary, once there is one that confirms writes. Waits for a promotion that can take place: it is over within
+ * the statement's time more often than not, and the client has few repeats. Without a replica that answers
+ * nothing can be promoted, and the statement is refused at once.
  */
-export async function awaitLeader({group, deadlineMs}: Operation, timers: TimerService): Promise<Member | undefined> {
+export async function awaitLeader({group, deadlineMs}: Operation, timers: TimerService): Promise<Result<Member, StatementFailure>> {
 	for (;;) {
 		const {leader} = group;
 		const nowMs = timers.nowMs();
-		if (leader && isUsableLeader(leader, nowMs)) {
-			return leader;
+		const isStalled = group.isLeaderStalled(nowMs);
+		// While the primary is stalled one write at a time finds out whether it confirms again.
+		if (leader && isUsableLeader(leader, nowMs) && (!isStalled || leader.pendingWrites.size === 0)) {
+			return ok(leader);
+		}
+
+		if (isStalled && !group.hasHope(nowMs)) {
+			return err(statementFailure('leader-stalled'));
 		}
 
 		if (nowMs >= deadlineMs || group.members.size === 0) {
-			return undefined;
+			return err(statementFailure('leader-unknown'));
 		}
 
 		// eslint-disable-next-line no-await-in-loop
@@ -76,11 +83,7 @@
 /** A connection to the primary, for writes, transactions and reads that must see every commit. */
 export async function acquireLeader(operation: Operation, context: OperationContext): Promise<Result<HeldConnection, StatementFailure>> {
 	const leader = await awaitLeader(operation, context.timers);
-	if (!leader) {
-		return err(statementFailure('leader-unknown'));
-	}
-
-	return acquireFrom(leader, operation, context);
+	return leader.isErr() ? err(leader.error) : acquireFrom(leader.value, operation, context);
 }
 
 export async function acquireFrom(member: Member, operation: Operation, context: OperationContext): Promise<Result<HeldConnection, StatementFailure>> {
@@ -102,13 +105,22 @@
 export async function acquireReader(
 	operation: Operation,
 	after: LogPosition,
-	excluded: ReadonlySet<string>,
+	excluded: Set<string>,
 	context: OperationContext,
 ): Promise<Result<HeldConnection, StatementFailure>> {
 	const member = chooseReader({
 		group: operation.group, after, nowMs: context.timers.nowMs(), failureDomain: context.failureDomain, excluded,
 	});
-	return member ? acquireFrom(member, operation, context) : err(statementFailure('no-reader'));
+	if (!member) {
+		return err(statementFailure('no-reader'));
+	}
+
+	const acquired = await acquireFrom(member, operation, context);
+	if (acquired.isErr()) {
+		excluded.add(member.id);
+	}
+
+	return acquired;
 }
 
 /** Result of one command: the answer, or why there is none. */
@@ -145,7 +157,10 @@
 	held.member.pendingWrites.add(pending);
 	const answer = await runOn(held, command, operation.deadlineMs - pending.sentAtMs, timers);
 	held.member.pendingWrites.delete(pending);
-	if (answer.isOk() && !answer.value.error) {
+	if (answer.isErr()) {
+		held.member.noteWriteUnconfirmed(pending.sentAtMs);
+	} else if (!answer.value.error) {
+		held.member.noteWriteConfirmed(pending.sentAtMs);
 		operation.group.noteCommit(held.member, pending.sentAtMs, answer.value.position);
 	}
 
--- a/packages/pooler/src/session/run-single.ts
+++ b/packages/pooler/src/session/run-single.ts
@@ -1,7 +1,7 @@
 import {type LogPosition, type RetryBudget} from '@dogwoodthread/coordination';
 import {err, ok, type Result} from 'neverthrow';
 import {type EndpointAnswer, type EndpointCommand} from '../endpoint/index.js';
-import {type Member} from '../group/index.js';
+import {type Group, type Member} from '../group/index.js';
 import {
 	acquireLeader, acquireReader, discard, type HeldConnection, type Operation, type OperationContext, requiredPosition, runCommitOn, runOn, type RunResult,
 } from './operation.js';
@@ -29,6 +29,9 @@
 /** Outcome of one attempt: final, or known not to have run. */
 type Attempt = {kind: 'final'; result: SingleResult} | {kind: 'not-run'; failure: StatementFailure};
 
+/** Whether another attempt before the deadline would end the same way. */
+const isHopeless = ({reason}: StatementFailure): boolean => reason === 'leader-unknown' || reason === 'leader-stalled' || reason === 'no-connection';
+
 const final = (result: SingleResult): Attempt => ({kind: 'final', result});
 const notRun = (failure: StatementFailure): Attempt => ({kind: 'not-run', failure});
 
@@ -43,7 +46,7 @@
 		}
 
 		last = attempt.failure;
-		if (last.reason === 'leader-unknown' || last.reason === 'no-connection') {
+		if (isHopeless(last)) {
 			break;
 		}
 
@@ -116,7 +119,7 @@
 		}
 
 		last = attempt.failure;
-		if (last.reason === 'leader-unknown' || last.reason === 'no-connection') {
+		if (isHopeless(last)) {
 			break;
 		}
 
@@ -209,20 +212,27 @@
 
 		last = attempt.failure;
 		operation.attempts += 1;
-		if (last.reason === 'no-reader' && excluded.size === 0 && operation.group.members.size === 0) {
+		if (last.reason === 'no-reader' && isOutOfReach(operation.group, context.timers.nowMs())) {
 			break;
 		}
 
 		if (last.reason === 'no-reader') {
+			// Every member was tried: one that was busy or behind may be able by now.
 			excluded.clear();
 			// eslint-disable-next-line no-await-in-loop
-			await operation.group.waitForChange(Math.min(busyPauseMs, Math.max(1, operation.deadlineMs - context.timers.nowMs())));
+			await context.timers.sleep(busyPauseMs);
 		}
 	}
 
 	return err(last);
 }
 
+/** A member that answers nothing for this long is taken to be out of reach, in ms. */
+const outOfReachMs = 500;
+
+const isOutOfReach = ({members}: Group, nowMs: number): boolean =>
+	[...members.values()].every(member => member.failingForMs(nowMs) > outOfReachMs);
+
 type ReadPlan = {after: LogPosition; excluded: Set<string>};
 
 async function attemptBoundedRead(
