Forward statements to holders where connections are scarce

One each is too many: 68,286 connections over the limit in 6 s, processes out of memory from proofs asked for by every waiting read. Change: one rule gives who holds connections: all hosts if each gets two or more, otherwise a few, the same at every host, spread over failure domains, 12 connections each; the others forward over one link a holder. Hosts know each other from entries at the store, written before they take clients. One proof of leadership is under way at a time. Ruled out: one connection a host (above); Connect between hosts (3.9 ms a step, CAPACITY.md).

--- a/packages/pooler/src/daemon/pooler.ts
+++ b/packages/pooler/src/daemon/pooler.ts
@@ -1,14 +1,17 @@
 import {
-	type Platform, RetryBudget, type TimerService,
+	type Platform, type RandomSource, RetryBudget, type TimerService,
 } from '@dogwoodthread/coordination';
 import {Catalog, type CatalogSource, type Endpoint, type ServiceLimits} from '../catalog/index.js';
 import {type EndpointConnector} from '../endpoint/index.js';
 import {DutyLease, FailoverDriver, type PromotionService, TermAnnouncements} from '../failover/index.js';
-import {connectionShare, Fleet, type FleetHost} from '../fleet/index.js';
+import {Fleet, type FleetHost, type HolderPlan, planHolders} from '../fleet/index.js';
+import {
+	ForwardService, HolderLink, type PeerConnector, type PeerLink, type ForwardReply, type ForwardRequest, RemoteExecutor,
+} from '../forward/index.js';
 import {ContinuityClock, Group, Member} from '../group/index.js';
 import {type EventLog, type PoolerMetrics} from '../observability/index.js';
 import {ConnectionPool} from '../pool/index.js';
-import {Session} from '../session/index.js';
+import {type Executor, LocalExecutor, Session} from '../session/index.js';
 
 export type PoolerOptions = {
 	self: FleetHost;
@@ -16,6 +19,8 @@
 	connector: EndpointConnector;
 	platform: Platform;
 	promotions: PromotionService;
+	peers: PeerConnector;
+	random: RandomSource;
 	timers: TimerService;
 	events: EventLog;
 	metrics: PoolerMetrics;
@@ -29,6 +34,10 @@
 export class Pooler {
 	readonly catalog = new Catalog();
 	readonly #groups = new Map<string, Group>();
+	readonly #plans = new Map<string, HolderPlan>();
+	readonly #executors = new Map<string, {local?: LocalExecutor; remote: RemoteExecutor}>();
+	readonly #links = new Map<string, HolderLink>();
+	readonly #forwards: ForwardService;
 	readonly #clock: ContinuityClock;
 	readonly #announcements: TermAnnouncements;
 	readonly #fleet: Fleet;
@@ -40,7 +49,12 @@
 		this.#clock = new ContinuityClock(timers, jumpMs => {
 			events.write('clock-discontinuity', {jumpMs: Math.round(jumpMs)});
 		});
-		this.#fleet = new Fleet({platform, timers, events, self});
+		this.#fleet = new Fleet({
+			platform, timers, events, self, onRefresh: () => {
+				this.#updateGroups();
+			},
+		});
+		this.#forwards = new ForwardService({timers, executorOf: service => this.#executors.get(service)?.local});
 		this.#announcements = new TermAnnouncements(platform);
 		this.#failover = new FailoverDriver({
 			lease: new DutyLease({platform, timers, clock: this.#clock, events, hostId: self.hostId}),
@@ -58,8 +72,14 @@
 
 	/** Whether statements can be served: the catalog is known, and some endpoint of each service in use answers. */
 	get isReady(): boolean {
-		return this.catalog.isLoaded && [...this.#groups.values()].some(({members}) =>
-			[...members.values()].some(({status}) => status !== undefined));
+		const isHolder = this.#groups.size > 0;
+		return this.canServe && (!isHolder || [...this.#groups.values()].some(({members}) =>
+			[...members.values()].some(({status}) => status !== undefined)));
+	}
+
+	/** Whether the catalog and the fleet are known, so that each statement has somewhere to go. */
+	get canServe(): boolean {
+		return this.#plans.size > 0;
 	}
 
 	start(): void {
@@ -71,11 +91,22 @@
 	/** Stops duties and gives up what other hosts may use; statements under way go on. */
 	async leave(): Promise<void> {
 		this.#failover.stop();
+		this.#forwards.leave();
 		await this.#fleet.leave();
 	}
 
+	/** Serves statements that another host forwards. */
+	acceptPeer(link: PeerLink<ForwardReply, ForwardRequest>): void {
+		this.#forwards.accept(link);
+	}
+
 	stop(): void {
 		this.options.source.stop();
+		this.#forwards.close();
+		for (const link of this.#links.values()) {
+			link.close();
+		}
+
 		for (const group of this.#groups.values()) {
 			group.close();
 		}
@@ -89,32 +120,95 @@
 			metrics,
 			failureDomain: self.failureDomain,
 			catalog: this.catalog,
-			groupOf: service => this.#groups.get(service),
-			hedges: this.#hedges,
+			executorOf: service => this.#executorOf(service),
 		});
 	}
 
+	#executorOf(service: string): Executor | undefined {
+		const executors = this.#executors.get(service);
+		return executors?.local ?? executors?.remote;
+	}
+
+	/** Follows the catalog and the fleet: which services this host holds connections to, and who holds the others. */
 	#updateGroups(): void {
 		const {catalog} = this;
-		if (!catalog.isLoaded) {
+		if (!catalog.isLoaded || !this.#fleet.isLoaded) {
 			return;
 		}
 
 		const limits = new Map(catalog.services.map(service => [service.service, service]));
-		for (const [service, group] of this.#groups) {
-			if (!limits.has(service)) {
-				group.close();
-				this.#groups.delete(service);
-			}
+		for (const service of [...this.#plans.keys()].filter(known => !limits.has(known))) {
+			this.#removeGroup(service);
+			this.#plans.delete(service);
+			this.#executors.delete(service);
 		}
 
 		for (const [service, serviceLimits] of limits) {
-			const listed = catalog.endpoints.filter(endpoint => endpoint.service === service);
-			const group = this.#groups.get(service) ?? this.#addGroup(service, serviceLimits);
-			group.update(listed, serviceLimits);
+			const plan = planHolders(service, this.#fleet.hosts, serviceLimits.maxConnections);
+			this.#notePlan(service, plan);
+			const isHolder = plan.isEveryHost || plan.holders.some(({hostId}) => hostId === this.options.self.hostId);
+			if (isHolder) {
+				const group = this.#groups.get(service) ?? this.#addGroup(service, serviceLimits);
+				group.update(catalog.endpoints.filter(endpoint => endpoint.service === service), serviceLimits);
+			} else if (this.#groups.get(service)?.isUnused) {
+				this.#removeGroup(service);
+			}
+
+			this.#setExecutors(service, isHolder);
 		}
 	}
 
+	#notePlan(service: string, plan: HolderPlan): void {
+		const previous = this.#plans.get(service);
+		this.#plans.set(service, plan);
+		if (previous?.share.guaranteed !== plan.share.guaranteed || previous.holders.length !== plan.holders.length) {
+			this.options.events.write('connection-share-changed', {
+				service, hosts: this.#fleet.hosts.length, holders: plan.holders.length, isEveryHost: plan.isEveryHost, connections: plan.share.guaranteed,
+			});
+		}
+	}
+
+	#setExecutors(service: string, isHolder: boolean): void {
+		const group = this.#groups.get(service);
+		const known = this.#executors.get(service);
+		const remote = known?.remote ?? this.#createRemote(service);
+		const local = isHolder && group ? known?.local ?? new LocalExecutor(group, this.#operationContext()) : undefined;
+		this.#executors.set(service, {local, remote});
+	}
+
+	#createRemote(service: string): RemoteExecutor {
+		const {timers, random, self} = this.options;
+		return new RemoteExecutor({
+			service, timers, random, failureDomain: self.failureDomain,
+			holders: () => this.#plans.get(service)?.holders.filter(({hostId}) => hostId !== self.hostId) ?? [],
+			linkTo: host => this.#linkTo(host),
+		});
+	}
+
+	/** A restarted host may have another address; its old link then stays unused. */
+	#linkTo({address}: FleetHost): HolderLink {
+		const known = this.#links.get(address);
+		if (known) {
+			return known;
+		}
+
+		const link = new HolderLink({address, connector: this.options.peers, timers: this.options.timers});
+		this.#links.set(address, link);
+		return link;
+	}
+
+	#removeGroup(service: string): void {
+		this.#groups.get(service)?.close();
+		this.#groups.delete(service);
+	}
+
+	#operationContext() {
+		const {timers, events, metrics, self} = this.options;
+		return {
+			timers, events, metrics, failureDomain: self.failureDomain, hedges: this.#hedges,
+		};
+	}
+
 	#addGroup(service: string, limits: ServiceLimits): Group {
 		const {timers, events, connector} = this.options;
 		const group: Group = new Group({
@@ -135,7 +229,7 @@
 			endpoint,
 			connector,
 			timers,
-			share: () => connectionShare(limits().maxConnections, this.#fleet.size),
+			share: () => this.#plans.get(endpoint.service)?.share ?? {guaranteed: 0, maxConnections: limits().maxConnections},
 			onConnect(error, durationMs) {
 				metrics.event(error ? `connect-${error.kind}` : 'connect-ok');
 				if (isReachable === Boolean(error)) {
--- a/packages/pooler/src/fleet/fleet.ts
+++ b/packages/pooler/src/fleet/fleet.ts
@@ -7,6 +7,8 @@
 	timers: TimerService;
 	events: EventLog;
 	self: FleetHost;
+	/** Told after each reading of the list. */
+	onRefresh?: () => void;
 };
 
 /** A host that runs this program. */
@@ -24,14 +26,14 @@
 });
 
 /** Interval at which a host confirms its entry, in ms. */
-const heartbeatMs = 15_000;
+const heartbeatMs = 20_000;
 /** Interval at which the list is read, in ms; the calls are cheap since they may be stale. */
 const refreshMs = 5000;
 /** Reads right after the start, in ms, since the hosts of a fleet start together. */
 const earlyRefreshesMs = [700, 2500];
 /** An entry that was not confirmed for this long belongs to a host that is gone, in ms. */
-const goneAfterMs = 40_000;
-const retryMs = 1000;
+const goneAfterMs = 50_000;
+const retryMs = 500;
 
 /** The hosts of the system, from their entries at the platform's store. */
 export class Fleet {
@@ -39,21 +41,23 @@
 	readonly #seen = new Map<string, {version: number; sinceMs: number; host: FleetHost}>();
 	#version = 0;
 	#stopped = false;
+	#isLoaded = false;
 
 	constructor(private readonly options: FleetOptions) {}
 
-	/** Hosts that are taken to be alive, this one included. */
-	get size(): number {
-		return Math.max(1, this.hosts.length);
+	/** Whether the list was read at least once. */
+	get isLoaded(): boolean {
+		return this.#isLoaded;
 	}
 
+	/** Hosts that are taken to be alive. */
 	get hosts(): readonly FleetHost[] {
 		const nowMs = this.options.timers.nowMs();
 		return [...this.#seen.values()].filter(({sinceMs}) => nowMs - sinceMs < goneAfterMs).map(({host}) => host);
 	}
 
 	start(): void {
-		void this.#beat();
+		void this.#enter();
 		for (const delayMs of earlyRefreshesMs) {
 			this.options.timers.after(delayMs, () => {
 				void this.#refresh();
@@ -71,6 +75,11 @@
 		await this.options.platform.remove('hosts', this.options.self.hostId, this.#version);
 	}
 
+	async #enter(): Promise<void> {
+		await this.#beat();
+		await this.#refresh();
+	}
+
 	async #beat(): Promise<void> {
 		if (this.#stopped) {
 			return;
@@ -92,6 +101,14 @@
 		});
 	}
 
+	#retryUntilLoaded(): void {
+		if (!this.#isLoaded) {
+			this.options.timers.after(retryMs, () => {
+				void this.#refresh();
+			});
+		}
+	}
+
 	async #refresh(): Promise<void> {
 		if (this.#stopped) {
 			return;
@@ -100,9 +117,11 @@
 		const listed = await this.options.platform.list('hosts', {allowStale: true});
 		if (listed.isErr()) {
 			// The list in force stays; the store's client logs the failure.
+			this.#retryUntilLoaded();
 			return;
 		}
 
+		this.#isLoaded = true;
 		const nowMs = this.options.timers.nowMs();
 		const names = new Set(listed.value.objects.map(({name}) => name));
 		for (const {name, version, value} of listed.value.objects) {
@@ -122,5 +141,7 @@
 				this.options.events.write('host-gone', {hostId: name});
 			}
 		}
+
+		this.options.onRefresh?.();
 	}
 }
--- a/packages/pooler/src/fleet/index.ts
+++ b/packages/pooler/src/fleet/index.ts
@@ -1,3 +1,3 @@
 /** The hosts of the system and what each may use. */
-export {connectionShare} from './connection-share.js';
 export {Fleet, type FleetHost, type FleetOptions} from './fleet.js';
+export {planHolders, type HolderPlan} from './holders.js';
--- /dev/null
+++ b/packages/pooler/src/forward/forward-service.ts
@@ -0,0 +1,137 @@
+import {type TimerService} from '@dogwoodthread/coordination';
+import {err} from 'neverthrow';
+import {
+	type Executor, type Operation, SessionState, statementFailure, type StatementResult, type TransactionHandle,
+} from '../session/index.js';
+import {
+	type ForwardedStatement, type ForwardReply, type ForwardRequest, type PeerLink,
+} from './definitions.js';
+
+export type ForwardServiceOptions = {
+	timers: TimerService;
+	/** Runs statements over this host's own connections. */
+	executorOf: (service: string) => Executor | undefined;
+};
+
+type OpenTransaction = {handle: TransactionHandle; session: SessionState};
+type Link = PeerLink<ForwardReply, ForwardRequest>;
+
+/** Runs statements for clients of other hosts. One task for each link; a link that ends rolls back what it had open. */
+export class ForwardService {
+	readonly #links = new Set<Link>();
+
+	constructor(private readonly options: ForwardServiceOptions) {}
+
+	accept(link: Link): void {
+		const transactions = new Map<number, OpenTransaction>();
+		this.#links.add(link);
+		link.onMessage(request => {
+			void this.#handle(link, request, transactions);
+		});
+		link.onClose(() => {
+			this.#links.delete(link);
+			for (const {handle} of transactions.values()) {
+				handle.abort();
+			}
+
+			transactions.clear();
+		});
+	}
+
+	/** Tells the other hosts to use other holders. */
+	leave(): void {
+		for (const link of this.#links) {
+			link.send({kind: 'leaving'});
+		}
+	}
+
+	close(): void {
+		for (const link of this.#links) {
+			link.close();
+		}
+	}
+
+	async #handle(link: Link, request: ForwardRequest, transactions: Map<number, OpenTransaction>): Promise<void> {
+		if (request.kind === 'ping') {
+			link.send({kind: 'pong'});
+			return;
+		}
+
+		if (request.kind === 'abort') {
+			transactions.get(request.transaction)?.handle.abort();
+			transactions.delete(request.transaction);
+			return;
+		}
+
+		const result = await this.#run(request, transactions);
+		link.send(result.match<ForwardReply>(
+			answer => ({kind: 'answer', call: request.call, answer}),
+			failure => ({kind: 'answer', call: request.call, failure}),
+		));
+	}
+
+	async #run(request: Exclude<ForwardRequest, {kind: 'ping' | 'abort'}>, transactions: Map<number, OpenTransaction>): Promise<StatementResult> {
+		const {statement} = request;
+		const executor = this.options.executorOf(statement.service);
+		if (!executor) {
+			return err(statementFailure('no-connection'));
+		}
+
+		if (request.kind === 'single') {
+			const operation = this.#operation(statement, sessionOf(statement));
+			return executor.runSingle({command: request.command, prepared: request.prepared}, request.isWrite, operation);
+		}
+
+		const open = transactions.get(request.transaction) ?? this.#begin(executor, request);
+		transactions.set(request.transaction, open);
+		for (const [name, value] of statement.values) {
+			open.session.values.set(name, value);
+		}
+
+		const operation = this.#operation(statement, open.session);
+		if (request.kind === 'commit') {
+			transactions.delete(request.transaction);
+			return open.handle.commit(operation);
+		}
+
+		return open.handle.run({command: request.command, prepared: request.prepared}, request.isWrite, operation);
+	}
+
+	#begin(executor: Executor, {begin, statement}: Extract<ForwardRequest, {kind: 'transaction' | 'commit'}>): OpenTransaction {
+		const session = sessionOf(statement);
+		const handle = executor.begin({
+			id: begin.id, readOnly: begin.readOnly, session, beganAtMs: this.options.timers.nowMs(),
+		});
+		return {handle, session};
+	}
+
+	#operation(statement: ForwardedStatement, session: SessionState): Operation {
+		const nowMs = this.options.timers.nowMs();
+		return {
+			id: statement.requestId,
+			session,
+			arrivedAtMs: nowMs,
+			deadlineMs: nowMs + statement.leftMs,
+			attempts: 0,
+			route: {
+				database: '',
+				service: statement.service,
+				consistency: statement.consistency,
+				statementTimeoutMs: statement.leftMs,
+				latencyObjectiveMs: statement.latencyObjectiveMs,
+				priority: statement.priority,
+				maxStalenessMs: statement.maxStalenessMs,
+			},
+		};
+	}
+}
+
+function sessionOf({values, committed}: ForwardedStatement): SessionState {
+	const session = new SessionState();
+	for (const [name, value] of values) {
+		session.values.set(name, value);
+	}
+
+	session.noteCommit(committed);
+	return session;
+}
--- a/packages/pooler/src/group/group.ts
+++ b/packages/pooler/src/group/group.ts
@@ -66,9 +66,9 @@
 	#unfencedAskedAtMs = Number.NEGATIVE_INFINITY;
 	#unfencedEpoch = -1;
 	#bounds: PositionBound[] = [];
-	#waiters: Array<() => void> = [];
+	readonly #waiters = new Set<() => void>();
 	readonly #checks: TimerSubscription;
-	#announcement: Promise<void> | undefined;
+	#proof: Promise<void> | undefined;
 	#closed = false;
 
 	constructor(private readonly options: GroupOptions) {
@@ -96,6 +96,11 @@
 		return Math.max(this.#leaderTerm, ...[...this.members.values()].map(({status}) => status?.term ?? 0));
 	}
 
+	/** Whether no statement uses its connections. */
+	get isUnused(): boolean {
+		return [...this.members.values()].every(({pool}) => pool.inUse === 0 && pool.waiting === 0);
+	}
+
 	get leaderlessSinceMs(): number | undefined {
 		return this.#leaderlessSinceMs;
 	}
@@ -169,35 +174,45 @@
 			|| (this.#unfencedEpoch === this.options.clock.epoch() && atMs - this.#unfencedAskedAtMs <= leadershipEvidenceMs);
 	}
 
-	/** Asks a replica whether it is fenced, until one says that it is not or `deadlineMs` has come. */
+	/** Waits for a proof that no promotion took effect before `atMs`; all who wait share the requests for it. */
 	async proveLeadership(atMs: number, deadlineMs: number): Promise<boolean> {
-		const tried = new Set<Member>();
 		while (!this.isLeadershipProven(atMs) && this.options.timers.nowMs() < deadlineMs && this.#leader) {
-			const replica = this.#leastLoadedReplica(tried);
-			if (!replica) {
-				// eslint-disable-next-line no-await-in-loop
-				await this.#proveByAnnouncement();
-				return this.isLeadershipProven(atMs);
-			}
+			this.#proof ??= this.#askForProof();
+			// eslint-disable-next-line no-await-in-loop
+			await this.#proof;
+		}
 
+		return this.isLeadershipProven(atMs);
+	}
+
+	/** Asks one replica after the other, then the store. Takes a while also if all answer at once. */
+	async #askForProof(): Promise<void> {
+		const {timers} = this.options;
+		const startedMs = timers.nowMs();
+		const tried = new Set<Member>();
+		let replica = this.#leastLoadedReplica(tried);
+		while (replica && !this.isLeadershipProven(startedMs)) {
 			tried.add(replica);
 			// eslint-disable-next-line no-await-in-loop
-			await Promise.race([this.poll(replica), this.options.timers.sleep(proofTimeoutMs)]);
+			await Promise.race([this.poll(replica), timers.sleep(proofTimeoutMs)]);
+			replica = this.#leastLoadedReplica(tried);
 		}
 
-		return this.isLeadershipProven(atMs);
+		if (!this.isLeadershipProven(startedMs)) {
+			await this.#readAnnouncement();
+		}
+
+		if (!this.isLeadershipProven(startedMs)) {
+			await timers.sleep(onDemandIntervalMs);
+		}
+
+		this.#proof = undefined;
 	}
 
 	/**
 	 * When no replica answers: a promoter announces its term at the store before it fences anyone, so the primary
 	 * leads as long as none is announced.
 	 */
-	async #proveByAnnouncement(): Promise<void> {
-		this.#announcement ??= this.#readAnnouncement();
-		await this.#announcement;
-		this.#announcement = undefined;
-	}
-
 	async #readAnnouncement(): Promise<void> {
 		const askedAtMs = this.options.timers.nowMs();
 		const epoch = this.options.clock.epoch();
@@ -252,11 +267,14 @@
 	/** Resolves at the next change of what is known, at the latest after `waitMs`. */
 	async waitForChange(waitMs: number): Promise<void> {
 		await new Promise<void>(resolve => {
-			const timeout = this.options.timers.after(waitMs, resolve);
-			this.#waiters.push(() => {
+			const done = () => {
 				timeout.cancel();
+				this.#waiters.delete(done);
 				resolve();
-			});
+			};
+
+			const timeout = this.options.timers.after(waitMs, done);
+			this.#waiters.add(done);
 		});
 	}
 
@@ -283,7 +301,7 @@
 	#proveForBound(deadlineMs: number): void {
 		const nowMs = this.options.timers.nowMs();
 		const inReach = [...this.members.values()].filter(member => member.failingForMs(nowMs) === 0).length;
-		if (inReach < this.#answersForBound && this.#leader) {
+		if (inReach < this.#answersForBound && this.#leader && !this.#proof) {
 			void this.proveLeadership(nowMs, deadlineMs);
 		}
 	}
@@ -445,7 +463,7 @@
 	}
 
 	#wake(): void {
-		for (const waiter of this.#waiters.splice(0)) {
+		for (const waiter of [...this.#waiters]) {
 			waiter();
 		}
 	}
--- a/packages/pooler/src/index.ts
+++ b/packages/pooler/src/index.ts
@@ -4,6 +4,7 @@
 export * from './endpoint/index.js';
 export * from './failover/index.js';
 export * from './fleet/index.js';
+export * from './forward/index.js';
 export * from './group/index.js';
 export * from './observability/index.js';
 export * from './pool/index.js';
--- a/packages/pooler/src/session/index.ts
+++ b/packages/pooler/src/session/index.ts
@@ -1,2 +1,8 @@
 /** A client's connection: session state, single statements and transactions. */
+export {endpointFailure, type FailureReason, statementFailure, type StatementFailure} from './errors.js';
+export type {BeginRequest, Executor, StatementResult, TransactionHandle} from './executor.js';
+export {LocalExecutor, type LocalExecutorContext} from './local-executor.js';
+export type {Operation} from './operation.js';
+export type {SingleStatement} from './run-single.js';
 export {Session, type SessionContext} from './session.js';
+export {SessionState, type PreparedStatement} from './session-state.js';
--- /dev/null
+++ b/packages/pooler/src/session/local-executor.ts
@@ -0,0 +1,47 @@
+import {type RetryBudget} from '@dogwoodthread/coordination';
+import {type Group} from '../group/index.js';
+import {type BeginRequest, type Executor, type StatementResult, type TransactionHandle} from './executor.js';
+import {type Operation, type OperationContext} from './operation.js';
+import {
+	runBoundedRead, runPrimaryRead, runSingleWrite, type SingleStatement,
+} from './run-single.js';
+import {Transaction} from './transaction.js';
+
+export type LocalExecutorContext = OperationContext & {hedges: RetryBudget};
+
+/** Runs statements over this host's own connections. */
+export class LocalExecutor implements Executor {
+	constructor(private readonly group: Group, private readonly context: LocalExecutorContext) {}
+
+	async runSingle(statement: SingleStatement, isWrite: boolean, request: Operation): Promise<StatementResult> {
+		const operation = {...request, group: this.group};
+		const result = await this.#run(statement, isWrite, operation);
+		request.attempts = operation.attempts;
+		return result;
+	}
+
+	begin({id, readOnly, session, beganAtMs}: BeginRequest): TransactionHandle {
+		return new Transaction({
+			id, readOnly, session, beganAtMs, group: this.group, context: this.context,
+		});
+	}
+
+	describe(): Record<string, string | number | undefined> {
+		const {leader, term} = this.group;
+		return {
+			leader: leader?.id ?? 'none',
+			term,
+			leaderStatusAgeMs: leader && Math.round(this.context.timers.nowMs() - leader.statusAskedAtMs),
+		};
+	}
+
+	async #run(statement: SingleStatement, isWrite: boolean, operation: Operation & {group: Group}): Promise<StatementResult> {
+		if (isWrite) {
+			return runSingleWrite(statement, operation, this.context);
+		}
+
+		return operation.route.consistency === 'primary'
+			? runPrimaryRead(statement, operation, this.context)
+			: runBoundedRead(statement, operation, this.context);
+	}
+}
--- a/packages/pooler/src/session/operation.ts
+++ b/packages/pooler/src/session/operation.ts
@@ -21,7 +21,6 @@
 export type Operation = {
 	id: string;
 	route: Route;
-	group: Group;
 	session: SessionState;
 	arrivedAtMs: number;
 	deadlineMs: number;
@@ -29,6 +28,9 @@
 	attempts: number;
 };
 
+/** A statement that runs over this host's own connections. */
+export type LocalOperation = Operation & {group: Group};
+
 /** A connection held for an operation. */
 export type HeldConnection = {member: Member; connection: PooledConnection};
 
@@ -38,7 +40,7 @@
 const drainingPrimaryGraceMs = 4000;
 
 /** Position that a read must see, by the route's consistency; `undefined` if none is known in time. */
-export async function requiredPosition({route, group, session, arrivedAtMs, deadlineMs}: Operation): Promise<LogPosition | undefined> {
+export async function requiredPosition({route, group, session, arrivedAtMs, deadlineMs}: LocalOperation): Promise<LogPosition | undefined> {
 	const sinceMs = arrivedAtMs - Math.max(0, route.maxStalenessMs - stalenessMarginMs);
 	const bound = await group.awaitBoundSince(sinceMs, deadlineMs);
 	if (!bound) {
@@ -54,7 +56,7 @@
  * the statement's time more often than not, and the client has few repeats. Without a replica that answers
  * nothing can be promoted, and the statement is refused at once.
  */
-export async function awaitLeader({group, deadlineMs}: Operation, timers: TimerService): Promise<Result<Member, StatementFailure>> {
+export async function awaitLeader({group, deadlineMs}: LocalOperation, timers: TimerService): Promise<Result<Member, StatementFailure>> {
 	for (;;) {
 		const {leader} = group;
 		const nowMs = timers.nowMs();
@@ -81,12 +83,12 @@
 	leader.endpoint.state === 'ready' || leader.drainingForMs(nowMs) < drainingPrimaryGraceMs;
 
 /** A connection to the primary, for writes, transactions and reads that must see every commit. */
-export async function acquireLeader(operation: Operation, context: OperationContext): Promise<Result<HeldConnection, StatementFailure>> {
+export async function acquireLeader(operation: LocalOperation, context: OperationContext): Promise<Result<HeldConnection, StatementFailure>> {
 	const leader = await awaitLeader(operation, context.timers);
 	return leader.isErr() ? err(leader.error) : acquireFrom(leader.value, operation, context);
 }
 
-export async function acquireFrom(member: Member, operation: Operation, context: OperationContext): Promise<Result<HeldConnection, StatementFailure>> {
+export async function acquireFrom(member: Member, operation: LocalOperation, context: OperationContext): Promise<Result<HeldConnection, StatementFailure>> {
 	const startedMs = context.timers.nowMs();
 	const acquired = await member.pool.acquire({priority: operation.route.priority, deadlineMs: operation.deadlineMs});
 	context.metrics.stage(operation.route.consistency, 'waiting', context.timers.nowMs() - startedMs);
@@ -103,7 +105,7 @@
 
 /** A connection to a member that has `after`, trying each member once. */
 export async function acquireReader(
-	operation: Operation,
+	operation: LocalOperation,
 	after: LogPosition,
 	excluded: Set<string>,
 	context: OperationContext,
@@ -152,7 +154,7 @@
 }
 
 /** As `runOn`, for a command that commits a write. */
-export async function runCommitOn(held: HeldConnection, command: EndpointCommand, operation: Operation, timers: TimerService): Promise<RunResult> {
+export async function runCommitOn(held: HeldConnection, command: EndpointCommand, operation: LocalOperation, timers: TimerService): Promise<RunResult> {
 	const pending = {sentAtMs: timers.nowMs()};
 	held.member.pendingWrites.add(pending);
 	const answer = await runOn(held, command, operation.deadlineMs - pending.sentAtMs, timers);
--- a/packages/pooler/src/session/run-single.ts
+++ b/packages/pooler/src/session/run-single.ts
@@ -3,7 +3,7 @@
 import {type EndpointAnswer, type EndpointCommand} from '../endpoint/index.js';
 import {type Group, type Member} from '../group/index.js';
 import {
-	acquireLeader, acquireReader, discard, type HeldConnection, type Operation, type OperationContext, requiredPosition, runCommitOn, runOn, type RunResult,
+	acquireLeader, acquireReader, discard, type HeldConnection, type LocalOperation, type OperationContext, requiredPosition, runCommitOn, runOn, type RunResult,
 } from './operation.js';
 import {endpointFailure, statementFailure, type StatementFailure} from './errors.js';
 import {prepareConnection} from './prepare-connection.js';
@@ -36,7 +36,7 @@
 const notRun = (failure: StatementFailure): Attempt => ({kind: 'not-run', failure});
 
 /** Runs a write at the primary. Repeats it only while it is known not to have run. */
-export async function runSingleWrite(statement: SingleStatement, operation: Operation, context: OperationContext): Promise<SingleResult> {
+export async function runSingleWrite(statement: SingleStatement, operation: LocalOperation, context: OperationContext): Promise<SingleResult> {
 	let last = statementFailure('leader-unknown');
 	while (context.timers.nowMs() < operation.deadlineMs) {
 		// eslint-disable-next-line no-await-in-loop
@@ -58,7 +58,7 @@
 	return err(last);
 }
 
-async function attemptWrite(statement: SingleStatement, operation: Operation, context: OperationContext): Promise<Attempt> {
+async function attemptWrite(statement: SingleStatement, operation: LocalOperation, context: OperationContext): Promise<Attempt> {
 	const acquired = await acquireLeader(operation, context);
 	if (acquired.isErr()) {
 		return notRun(acquired.error);
@@ -89,7 +89,7 @@
 }
 
 /** Sorts an endpoint's error into those that say that nothing ran, and the others. */
-function refusedOrFinal(error: NonNullable<EndpointAnswer['error']>, held: HeldConnection, statement: SingleStatement, {group}: Operation): Attempt {
+function refusedOrFinal(error: NonNullable<EndpointAnswer['error']>, held: HeldConnection, statement: SingleStatement, {group}: LocalOperation): Attempt {
 	if (error.code === 'unknown-statement' && statement.prepared) {
 		held.connection.prepared.delete(statement.prepared.sharedName);
 		return notRun(endpointFailure(error));
@@ -109,7 +109,7 @@
  * Runs a read that must see every acknowledged commit. It runs in a transaction that only a primary accepts, so
  * that one which was told to step down refuses it.
  */
-export async function runPrimaryRead(statement: SingleStatement, operation: Operation, context: OperationContext): Promise<SingleResult> {
+export async function runPrimaryRead(statement: SingleStatement, operation: LocalOperation, context: OperationContext): Promise<SingleResult> {
 	let last = statementFailure('leader-unknown');
 	while (context.timers.nowMs() < operation.deadlineMs) {
 		// eslint-disable-next-line no-await-in-loop
@@ -131,7 +131,7 @@
 	return err(last);
 }
 
-async function attemptPrimaryRead(statement: SingleStatement, operation: Operation, context: OperationContext): Promise<Attempt> {
+async function attemptPrimaryRead(statement: SingleStatement, operation: LocalOperation, context: OperationContext): Promise<Attempt> {
 	const leftMs = () => operation.deadlineMs - context.timers.nowMs();
 	const acquired = await acquireLeader(operation, context);
 	if (acquired.isErr()) {
@@ -190,7 +190,7 @@
  */
 export async function runBoundedRead(
 	statement: SingleStatement,
-	operation: Operation,
+	operation: LocalOperation,
 	context: OperationContext & {hedges: RetryBudget},
 ): Promise<SingleResult> {
 	const after = await requiredPosition(operation);
@@ -237,7 +237,7 @@
 
 async function attemptBoundedRead(
 	statement: SingleStatement,
-	operation: Operation,
+	operation: LocalOperation,
 	context: OperationContext & {hedges: RetryBudget},
 	plan: ReadPlan,
 ): Promise<Attempt> {
@@ -279,7 +279,7 @@
 }
 
 /** Runs the read on a held connection and gives the connection back. */
-async function readAt(held: HeldConnection, statement: SingleStatement, operation: Operation, context: OperationContext, after: LogPosition): Promise<RunResult> {
+async function readAt(held: HeldConnection, statement: SingleStatement, operation: LocalOperation, context: OperationContext, after: LogPosition): Promise<RunResult> {
 	const leftMs = () => operation.deadlineMs - context.timers.nowMs();
 	const ready = await prepareConnection(held.connection, operation.session, statement.prepared, leftMs());
 	if (ready.isErr()) {
--- a/packages/pooler/src/session/session.ts
+++ b/packages/pooler/src/session/session.ts
@@ -1,22 +1,15 @@
-import {type RetryBudget} from '@dogwoodthread/coordination';
-import {type Result} from 'neverthrow';
 import {type Catalog, type Route} from '../catalog/index.js';
-import {type EndpointAnswer} from '../endpoint/index.js';
-import {type Group} from '../group/index.js';
 import {isSampled} from '../observability/index.js';
 import {type ClientAnswer, type ClientStatement, type TransactionState} from '../statement/index.js';
 import {statementFailure, type StatementFailure} from './errors.js';
 import {type Operation, type OperationContext} from './operation.js';
-import {
-	runBoundedRead, runPrimaryRead, runSingleWrite, type SingleStatement,
-} from './run-single.js';
+import {type Executor, type StatementResult, type TransactionHandle} from './executor.js';
+import {type SingleStatement} from './run-single.js';
 import {SessionState} from './session-state.js';
-import {Transaction} from './transaction.js';
 
 export type SessionContext = OperationContext & {
 	catalog: Catalog;
-	groupOf: (service: string) => Group | undefined;
-	hedges: RetryBudget;
+	executorOf: (service: string) => Executor | undefined;
 };
 
 type Executable = Extract<ClientStatement, {kind: 'read' | 'write' | 'execute'}>;
@@ -28,8 +21,10 @@
 /** One client's connection: its values, prepared statements and transaction. Statements come one at a time. */
 export class Session {
 	readonly #state = new SessionState();
-	#transaction: Transaction | undefined;
+	#transaction: TransactionHandle | undefined;
 	#transactionRoute: Route | undefined;
+	/** Runs the statements of the transaction, whatever the configuration says meanwhile. */
+	#transactionExecutor: Executor | undefined;
 	#expired: 'idle-in-transaction' | 'shutting-down' | undefined;
 	#isBusy = false;
 
@@ -133,9 +128,15 @@
 			return this.#failed(statementFailure('unknown-database'));
 		}
 
+		const executor = this.context.executorOf(route.service);
+		if (!executor) {
+			return this.#failed(statementFailure('unknown-service'));
+		}
+
 		this.#transactionRoute = route;
-		this.#transaction = new Transaction({
-			id, readOnly, session: this.#state, context: this.context, beganAtMs: this.context.timers.nowMs(),
+		this.#transactionExecutor = executor;
+		this.#transaction = executor.begin({
+			id, readOnly, session: this.#state, beganAtMs: this.context.timers.nowMs(),
 		});
 		return this.#done();
 	}
@@ -151,15 +152,11 @@
 			return this.#failed(statementFailure('transaction-failed'));
 		}
 
+		const executor = this.#transactionExecutor!;
 		const operation = this.#operation(id, this.#transactionRoute!);
-		if (!operation) {
-			this.#endTransaction();
-			return this.#failed({...statementFailure('transaction-failed'), reason: 'unknown-service'});
-		}
-
 		const result = await transaction.commit(operation);
 		this.#endTransaction();
-		return this.#answer(operation, result, 'commit');
+		return this.#answer(operation, result, 'commit', executor);
 	}
 
 	#rollback(): ClientAnswer {
@@ -182,11 +179,13 @@
 			return this.#failed(statementFailure('unknown-database'));
 		}
 
-		const operation = this.#operation(statement.id, route);
-		if (!operation) {
+		const executor = this.#transactionExecutor ?? this.context.executorOf(route.service);
+		if (!executor) {
 			return this.#failed(statementFailure('unknown-service'));
 		}
 
+		const operation = this.#operation(statement.id, route);
+
 		const single: SingleStatement = {
 			prepared,
 			command: statement.kind === 'execute'
@@ -198,25 +197,14 @@
 		const isWrite = statement.kind === 'write' || prepared?.access === 'write';
 		const result = this.#transaction
 			? await this.#transaction.run(single, isWrite, operation)
-			: await this.#runSingle(single, isWrite, operation);
-		return this.#answer(operation, result, isWrite ? 'write' : 'read');
+			: await executor.runSingle(single, isWrite, operation);
+		return this.#answer(operation, result, isWrite ? 'write' : 'read', executor);
 	}
 
-	async #runSingle(single: SingleStatement, isWrite: boolean, operation: Operation): Promise<Result<EndpointAnswer, StatementFailure>> {
-		if (isWrite) {
-			return runSingleWrite(single, operation, this.context);
-		}
-
-		return operation.route.consistency === 'primary'
-			? runPrimaryRead(single, operation, this.context)
-			: runBoundedRead(single, operation, this.context);
-	}
-
-	#operation(id: string, route: Route): Operation | undefined {
-		const group = this.context.groupOf(route.service);
+	#operation(id: string, route: Route): Operation {
 		const nowMs = this.context.timers.nowMs();
-		return group && {
-			id, route, group, session: this.#state, arrivedAtMs: nowMs, deadlineMs: nowMs + route.statementTimeoutMs, attempts: 0,
+		return {
+			id, route, session: this.#state, arrivedAtMs: nowMs, deadlineMs: nowMs + route.statementTimeoutMs, attempts: 0,
 		};
 	}
 
@@ -224,10 +212,11 @@
 		this.#transaction?.abort();
 		this.#transaction = undefined;
 		this.#transactionRoute = undefined;
+		this.#transactionExecutor = undefined;
 	}
 
-	#answer(operation: Operation, result: Result<EndpointAnswer, StatementFailure>, statementKind: string): ClientAnswer {
-		this.#report(operation, result, statementKind);
+	#answer(operation: Operation, result: StatementResult, statementKind: string, executor: Executor): ClientAnswer {
+		this.#report(operation, result, statementKind, executor);
 		if (result.isErr()) {
 			return this.#failed(result.error);
 		}
@@ -239,9 +228,9 @@
 		};
 	}
 
-	#report(operation: Operation, result: Result<EndpointAnswer, StatementFailure>, statementKind: string): void {
+	#report(operation: Operation, result: StatementResult, statementKind: string, executor: Executor): void {
 		const {timers, events, metrics, catalog} = this.context;
-		const {route, group, id, arrivedAtMs, attempts} = operation;
+		const {route, id, arrivedAtMs, attempts} = operation;
 		const totalMs = timers.nowMs() - arrivedAtMs;
 		const code = result.isOk() ? 'served' : result.error.code;
 		metrics.request(route.consistency, code, totalMs);
@@ -249,7 +238,6 @@
 			return;
 		}
 
-		const {leader} = group;
 		const isRefusal = result.isErr() && (code === 'busy' || code === 'lagging' || code === 'read-only' || code === 'aborted');
 		events.write(result.isOk() ? 'request-served' : isRefusal ? 'request-refused' : 'request-failed', {
 			requestId: id,
@@ -264,9 +252,7 @@
 			attempts,
 			inTransaction: this.#transaction !== undefined,
 			configurationVersion: catalog.version,
-			leader: leader?.id ?? 'none',
-			term: group.term,
-			leaderStatusAgeMs: leader ? Math.round(timers.nowMs() - leader.statusAskedAtMs) : undefined,
+			...executor.describe(),
 		});
 	}
 
--- a/packages/pooler/src/session/transaction.ts
+++ b/packages/pooler/src/session/transaction.ts
@@ -1,9 +1,11 @@
 import {err, ok, type Result} from 'neverthrow';
 import {type EndpointAnswer, type EndpointCommand} from '../endpoint/index.js';
+import {type Group} from '../group/index.js';
 import {endpointFailure, statementFailure, type StatementFailure} from './errors.js';
 import {
-	acquireLeader, acquireReader, discard, type HeldConnection, type Operation, type OperationContext, requiredPosition, runCommitOn, runOn,
+	acquireLeader, acquireReader, discard, type HeldConnection, type LocalOperation, type Operation, type OperationContext, requiredPosition, runCommitOn, runOn,
 } from './operation.js';
+import {type TransactionHandle} from './executor.js';
 import {prepareConnection} from './prepare-connection.js';
 import {rollBack, type SingleStatement} from './run-single.js';
 import {type SessionState} from './session-state.js';
@@ -19,13 +21,14 @@
 	context: OperationContext;
 	/** Monotonic time of the `BEGIN`. */
 	beganAtMs: number;
+	group: Group;
 };
 
 /**
  * A client's transaction. It takes a connection with its first statement, so that a client that rests after
  * `BEGIN` holds none, and keeps it to the end.
  */
-export class Transaction {
+export class Transaction implements TransactionHandle {
 	#held: HeldConnection | undefined;
 	#state: 'open' | 'failed' | 'ended' = 'open';
 	#hasWritten = false;
@@ -40,7 +43,8 @@
 		return this.#held?.member.id ?? 'none';
 	}
 
-	async run(statement: SingleStatement, isWrite: boolean, operation: Operation): Promise<Result<EndpointAnswer, StatementFailure>> {
+	async run(statement: SingleStatement, isWrite: boolean, request: Operation): Promise<Result<EndpointAnswer, StatementFailure>> {
+		const operation = {...request, group: this.options.group};
 		const opened = await this.#open(operation);
 		if (opened.isErr()) {
 			return this.#fail(opened.error);
@@ -56,7 +60,8 @@
 		return this.#runOnHeld(held, statement.command, operation);
 	}
 
-	async commit(operation: Operation): Promise<Result<EndpointAnswer, StatementFailure>> {
+	async commit(request: Operation): Promise<Result<EndpointAnswer, StatementFailure>> {
+		const operation = {...request, group: this.options.group};
 		const opened = await this.#open(operation);
 		if (opened.isErr()) {
 			return this.#fail(opened.error);
@@ -115,7 +120,7 @@
 		}
 	}
 
-	async #runOnHeld(held: HeldConnection, command: EndpointCommand, operation: Operation): Promise<Result<EndpointAnswer, StatementFailure>> {
+	async #runOnHeld(held: HeldConnection, command: EndpointCommand, operation: LocalOperation): Promise<Result<EndpointAnswer, StatementFailure>> {
 		const {context} = this.options;
 		for (;;) {
 			// eslint-disable-next-line no-await-in-loop
@@ -144,7 +149,7 @@
 		}
 	}
 
-	async #open(operation: Operation): Promise<Result<HeldConnection, StatementFailure>> {
+	async #open(operation: LocalOperation): Promise<Result<HeldConnection, StatementFailure>> {
 		if (this.#held) {
 			return ok(this.#held);
 		}
@@ -158,7 +163,7 @@
 	}
 
 	/** Tries until a member has begun the transaction; nothing of it has run before that. */
-	async #begin(operation: Operation): Promise<Result<HeldConnection, StatementFailure>> {
+	async #begin(operation: LocalOperation): Promise<Result<HeldConnection, StatementFailure>> {
 		const isBounded = operation.route.consistency !== 'primary';
 		const after = isBounded ? await requiredPosition(operation) : undefined;
 		if (isBounded && !after) {
@@ -202,7 +207,7 @@
 		return err(last);
 	}
 
-	async #beginOn(held: HeldConnection, command: Extract<EndpointCommand, {kind: 'begin'}>, operation: Operation): Promise<Result<HeldConnection, StatementFailure>> {
+	async #beginOn(held: HeldConnection, command: Extract<EndpointCommand, {kind: 'begin'}>, operation: LocalOperation): Promise<Result<HeldConnection, StatementFailure>> {
 		const {context, session} = this.options;
 		const {group} = operation;
 		if (!command.after && (!await group.proveLeadership(operation.arrivedAtMs, operation.deadlineMs) || group.leader !== held.member)) {
@@ -257,7 +262,7 @@
 		}
 	}
 
-	#leftMs({deadlineMs}: Operation): number {
+	#leftMs({deadlineMs}: LocalOperation): number {
 		return deadlineMs - this.options.context.timers.nowMs();
 	}
 }
