Bound the log by replicas alone only above the floor of departed members

Processes that had just started took the two replicas that answered first as a bound, though a replica that had left was the only one to acknowledge the primary's last commits. Change: a bound without the primary counts only once the floor at the store is known, and is at least that floor.

--- a/packages/pooler/src/daemon/pooler.ts
+++ b/packages/pooler/src/daemon/pooler.ts
@@ -227,6 +227,7 @@
 		const group: Group = new Group({
 			service, limits, timers, clock: this.#clock, events,
 			announcedTerm: async () => this.#announcements.term(service),
+			departedFloor: async () => this.#announcements.floor(service),
 			onDeparture: (memberId, position) => {
 				void this.#noteDeparture(service, memberId, position);
 			},
--- a/packages/pooler/src/failover/term-announcements.ts
+++ b/packages/pooler/src/failover/term-announcements.ts
@@ -40,6 +40,12 @@
 		return announcement?.term;
 	}
 
+	/** Position that members which are gone may have acknowledged; undefined if the store does not answer. */
+	async floor(service: string): Promise<LogPosition | undefined> {
+		const announcement = await this.read(service);
+		return announcement?.floor;
+	}
+
 	/** Announces a term before anyone is fenced; false if that is not confirmed, and nobody may be fenced then. */
 	async announce(service: string, term: number): Promise<boolean> {
 		return this.#change(service, announcement => ({...announcement, term}));
--- a/packages/pooler/src/group/group.ts
+++ b/packages/pooler/src/group/group.ts
@@ -15,6 +15,8 @@
 	createMember: (endpoint: Endpoint) => Member;
 	/** Highest term that a promoter has announced for the group; undefined if the store does not answer. */
 	announcedTerm: () => Promise<number | undefined>;
+	/** Position that members which are gone may have acknowledged; undefined if the store does not answer. */
+	departedFloor: () => Promise<LogPosition | undefined>;
 	/** Told when a member is gone, with a position that bounds what it may have acknowledged. */
 	onDeparture: (memberId: string, position: LogPosition) => void;
 };
@@ -52,6 +54,8 @@
 export const leadershipEvidenceMs = 500;
 /** Time after which another replica is asked for a proof, in ms. */
 const proofTimeoutMs = 150;
+/** Interval between attempts to read the floor at the store, in ms; a departure is noted there within 100 ms. */
+const floorIntervalMs = 1000;
 /** An entry that is missing for this long belongs to an endpoint that is gone, in ms. */
 const missingRetentionMs = 5000;
 /** Bounds older than this serve no route, in ms. */
@@ -71,6 +75,9 @@
 	readonly #waiters = new Set<() => void>();
 	readonly #checks: TimerSubscription;
 	#proof: Promise<void> | undefined;
+	/** What members that are gone may have acknowledged; undefined while that is not known. */
+	#floor: LogPosition | undefined;
+	#floorAskedAtMs = Number.NEGATIVE_INFINITY;
 	#closed = false;
 
 	constructor(private readonly options: GroupOptions) {
@@ -340,6 +347,11 @@
 
 	#check(): void {
 		const nowMs = this.options.timers.nowMs();
+		if (!this.#floor && nowMs - this.#floorAskedAtMs > floorIntervalMs) {
+			this.#floorAskedAtMs = nowMs;
+			void this.#loadFloor();
+		}
+
 		const isInDoubt = this.#isInDoubt(nowMs);
 		for (const member of this.members.values()) {
 			if (member.missingSinceMs !== undefined && nowMs - member.missingSinceMs > missingRetentionMs) {
@@ -399,7 +411,13 @@
 		}
 
 		const asked = answered.slice(0, this.#answersForBound);
-		const position = highestOf(asked.map(({status}) => status!.received));
+		const hasLeader = this.#leader !== undefined && asked.includes(this.#leader);
+		// A replica that is gone may have been the only one to acknowledge a commit of the primary.
+		if (!hasLeader && !this.#floor) {
+			return;
+		}
+
+		const position = highestOf([...asked.map(({status}) => status!.received), ...(this.#floor ? [this.#floor] : [])]);
 		this.#addBound(asked.at(-1)!.statusAskedAtMs, position);
 	}
 
@@ -469,12 +487,21 @@
 		}
 	}
 
+	async #loadFloor(): Promise<void> {
+		const floor = await this.options.departedFloor();
+		this.#floor ??= floor;
+	}
+
 	/** The primary's position after a member is gone bounds all that the member acknowledged. */
 	async #noteDeparture(member: Member): Promise<void> {
-		const leader = this.#leader;
-		const status = await leader?.control({kind: 'status'}, statusTimeoutMs);
-		const known = this.#bounds.at(-1)?.position ?? zeroPosition;
-		this.options.onDeparture(member.id, status?.role === 'primary' ? status.received : known);
+		const known = highestOf([this.#bounds.at(-1)?.position ?? zeroPosition, this.#floor ?? zeroPosition]);
+		this.#floor = undefined;
+		const status = await this.#leader?.control({kind: 'status'}, statusTimeoutMs);
+		const isKnown = status?.role === 'primary';
+		this.options.onDeparture(member.id, isKnown ? status.received : known);
+		if (isKnown) {
+			this.#floor = status.received;
+		}
 	}
 
 	#wake(): void {
--- a/packages/pooler/test/group/group.test.ts
+++ b/packages/pooler/test/group/group.test.ts
@@ -80,3 +80,20 @@
 	leader.noteWriteConfirmed(timers.nowMs());
 	t.notOk(group.isLeaderStalled(timers.nowMs()));
 });
+
+// Guards against reads at replicas that lack what a departed replica alone had acknowledged (hunt on molde-quito,
+// day hunt-b313-3: 69 stale reads by processes that had just started).
+test('replicas alone bound the log only above what departed members may have acknowledged', async t => {
+	const fixture = new GroupFixture();
+	fixture.primary.isReachable = false;
+	fixture.floor = {term: 1, index: 28};
+	await fixture.start();
+	await fixture.pass(2000);
+	t.same(fixture.group.boundSince(0), {term: 1, index: 28});
+	const unknown = new GroupFixture();
+	unknown.primary.isReachable = false;
+	unknown.floor = undefined;
+	await unknown.start();
+	await unknown.pass(2000);
+	t.equal(unknown.group.boundSince(0), undefined, 'the store does not answer');
+});
