Number forwarded transactions for each host, not for each service

Each service numbered its transactions from 1 and all shared one link a holder, so a statement ran in another service's transaction. Change: one counter a host.

--- a/packages/pooler/src/daemon/pooler.ts
+++ b/packages/pooler/src/daemon/pooler.ts
@@ -49,6 +49,7 @@
 	readonly #executors = new Map<string, {local?: LocalExecutor; remote: RemoteExecutor}>();
 	readonly #links = new Map<string, HolderLink>();
 	readonly #forwards: ForwardService;
+	#forwardedTransactions = 0;
 	readonly #clock: ContinuityClock;
 	readonly #announcements: TermAnnouncements;
 	readonly #fleet: Fleet;
@@ -195,6 +196,7 @@
 			service, timers, random, failureDomain: self.failureDomain,
 			holders: () => this.#plans.get(service)?.holders.filter(({hostId}) => hostId !== self.hostId) ?? [],
 			linkTo: host => this.#linkTo(host),
+			nextTransaction: () => this.#forwardedTransactions += 1,
 		});
 	}
 
--- a/packages/pooler/src/forward/remote-executor.ts
+++ b/packages/pooler/src/forward/remote-executor.ts
@@ -12,6 +12,8 @@
 	/** Holders at present, and the links to them. */
 	holders: () => readonly FleetHost[];
 	linkTo: (host: FleetHost) => HolderLink;
+	/** Numbers that are unique on each link, which several services share. */
+	nextTransaction: () => number;
 	timers: TimerService;
 	random: RandomSource;
 	failureDomain: string;
@@ -24,8 +26,6 @@
 
 /** Runs statements at hosts that hold connections to the service. */
 export class RemoteExecutor implements Executor {
-	#nextTransaction = 1;
-
 	constructor(private readonly options: RemoteExecutorOptions) {}
 
 	async runSingle(statement: SingleStatement, isWrite: boolean, operation: Operation): Promise<StatementResult> {
@@ -59,9 +59,7 @@
 	}
 
 	begin(request: BeginRequest): TransactionHandle {
-		const number = this.#nextTransaction;
-		this.#nextTransaction += 1;
-		return new RemoteTransaction(this, request, number);
+		return new RemoteTransaction(this, request, this.options.nextTransaction());
 	}
 
 	describe(): Record<string, string | number | undefined> {
--- a/packages/pooler/test/forward/forward.test.ts
+++ b/packages/pooler/test/forward/forward.test.ts
@@ -107,8 +107,9 @@
 		},
 	})]));
 	const session = new SessionState();
-	const remote = new RemoteExecutor({
-		service: 'ledger', timers, random: () => 0, failureDomain: 'a', holders: () => holders.map(({host}) => host), linkTo: ({hostId}) => links.get(hostId)!,
+	let transactions = 0;
+	const createRemote = (service: string) => new RemoteExecutor({
+		nextTransaction: () => transactions += 1, service, timers, random: () => 0, failureDomain: 'a', holders: () => holders.map(({host}) => host), linkTo: ({hostId}) => links.get(hostId)!,
 	});
 	const operation = (): Operation => ({
 		id: 'q', session, arrivedAtMs: timers.nowMs(), deadlineMs: timers.nowMs() + 3000, attempts: 0,
@@ -117,7 +118,7 @@
 		},
 	});
 	return {
-		timers, holders, session, remote, operation,
+		timers, holders, session, remote: createRemote('ledger'), createRemote, operation,
 	};
 }
 
@@ -201,3 +202,17 @@
 	holders[0]!.links[0]!.close();
 	t.equal(described(await commit), 'in-doubt');
 });
+
+// Guards against a statement in the transaction of another client: two services forwarded over one link used the
+// same numbers (PINNED and ROUTE on every day of kiambu-nets-grown).
+test('transactions of two services over one link stay apart', async t => {
+	const fleet = createFleet();
+	const other = fleet.createRemote('desk');
+	const [first, second] = [fleet.remote, other].map(remote => remote.begin({
+		id: remote === other ? 't2' : 't1', readOnly: false, session: new SessionState(), beganAtMs: 0,
+	}));
+	await first!.run(write, true, fleet.operation());
+	await second!.run(write, true, fleet.operation());
+	await second!.commit(fleet.operation());
+	t.same(fleet.holders[0]!.ran, ['t1/write', 't2/write', 't2/commit']);
+});
