--- /dev/null
+++ b/packages/ctl/src/commands/explain/domain/explain-request.ts
@@ -0,0 +1,67 @@
+import {type LogLine} from './log-lines.js';
+
+export type Explanation = {
+	requestId: string;
+	/** One sentence on the cause. */
+	cause: string;
+	/** Lines of the request, and the beliefs of its hosts in the time before, oldest first for each host. */
+	lines: LogLine[];
+};
+
+/** Changes of belief this long before a request's line may have decided it, in ms. */
+const contextMs = 6000;
+
+const beliefEvents: ReadonlySet<string> = new Set([
+	'leader-changed', 'leader-unknown', 'endpoint-unreachable', 'endpoint-reachable', 'endpoint-changed', 'endpoint-gone',
+	'promotion-started', 'promotion-finished', 'promotion-abandoned', 'dependency-lost', 'dependency-restored',
+	'clock-discontinuity', 'connection-share-changed', 'configuration-applied', 'process-started', 'process-stopping',
+]);
+
+const causes: Record<string, string> = {
+	'leader-unknown': 'no primary was known for the whole time of the statement',
+	'leader-stalled': 'the primary confirmed no writes and no replica answered, so nothing could be promoted',
+	'leadership-unproven': 'no replica or store confirmed in time that the primary had not been replaced',
+	'position-unknown': 'too few members answered to know how far a reader must be',
+	'no-reader': 'no member had the position that the read must see, or none answered',
+	'no-connection': 'all connections that this host may hold were in use for longer than the statement had',
+	'connection-lost': 'the connection to the instance or the holder ended before the answer',
+	'endpoint-silent': 'the instance did not answer within the time of the statement',
+	'endpoint-error': 'the instance refused or failed the statement',
+	'transaction-failed': 'an earlier statement of the transaction had failed',
+	'idle-in-transaction': 'the client rested in the transaction for longer than the configuration allows',
+	'shutting-down': 'the host was stopping',
+	'unknown-database': 'the configuration in force had no route for the database',
+};
+
+/** Joins the lines of all hosts on one request; undefined if none names it. */
+export function explainRequest(all: readonly LogLine[], requestId: string): Explanation | undefined {
+	const own = all.filter(line => line['requestId'] === requestId);
+	if (own.length === 0) {
+		return undefined;
+	}
+
+	const context = all.filter(line => beliefEvents.has(line.event) && own.some(request => mayHaveDecided(line, request)));
+	const lines = [...own, ...context].toSorted((a, b) => a.hostId === b.hostId ? a.monotonicMs - b.monotonicMs : a.time - b.time);
+	// A holder's own line is closer to the cause than that of the host which forwarded the request to it.
+	const decisive = own.find(({event}) => event === 'forwarded-request-failed') ?? own.find(({reason}) => reason !== undefined) ?? own[0]!;
+	return {requestId, cause: causeOf(decisive, context), lines};
+}
+
+/** Compares times of one process only, since the clocks of hosts differ and may step. */
+const mayHaveDecided = (belief: LogLine, request: LogLine): boolean =>
+	belief.hostId === request.hostId
+	&& belief.monotonicMs <= request.monotonicMs
+	&& request.monotonicMs - belief.monotonicMs <= contextMs
+	&& (belief['service'] === undefined || belief['service'] === request['service']);
+
+function causeOf(line: LogLine, context: readonly LogLine[]): string {
+	const reason = line['reason'];
+	if (typeof reason !== 'string') {
+		return `Served at ${line.hostId} after ${String(line['totalMs'])} ms.`;
+	}
+
+	const detail = typeof line['detail'] === 'string' ? ` (${line['detail']})` : '';
+	const latest = context.filter(({hostId}) => hostId === line.hostId).toSorted((a, b) => a.monotonicMs - b.monotonicMs).at(-1);
+	const before = latest ? ` Latest change of belief there: ${latest.event} ${Math.round(line.monotonicMs - latest.monotonicMs)} ms earlier.` : '';
+	return `Ended with ${String(line['code'])} at ${line.hostId}: ${causes[reason] ?? reason}${detail}.${before}`;
+}
--- /dev/null
+++ b/packages/ctl/src/commands/explain/index.ts
@@ -0,0 +1,2 @@
+/** `dogwoodctl explain`. */
+export {explainCommand} from './core/explain-command.js';
--- a/packages/ctl/src/commands/index.ts
+++ b/packages/ctl/src/commands/index.ts
@@ -10,6 +10,7 @@
 import {documentRepair} from './document-repair/index.js';
 import {documentShow} from './document-show/index.js';
 import {documentStatus} from './document-status/index.js';
+import {explainCommand} from './explain/index.js';
 import {reportCommand} from './report/index.js';
 import {HttpStatusReader, statusCommand} from './status/index.js';
 
@@ -27,5 +28,6 @@
 	documentReference,
 	auditCommand(countersFrom),
 	reportCommand(),
+	explainCommand,
 	statusCommand(timers => new HttpStatusReader(timers)),
 ];
--- /dev/null
+++ b/packages/ctl/test/explain/explain.test.ts
@@ -0,0 +1,36 @@
+import {writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {test} from 'tap';
+import {runCtl} from '../run.js';
+
+const line = (hostId: string, monotonicMs: number, event: string, fields: Record<string, unknown>, time = 1_700_000_000_000 + monotonicMs) =>
+	JSON.stringify({
+		level: 30, time, hostId, event, monotonicMs, ...fields,
+	});
+
+const refused = {requestId: 'q1', service: 'ledger', code: 'busy', reason: 'leader-unknown', totalMs: 1000};
+const forwarded = {requestId: 'q2', service: 'ledger', code: 'in-doubt', reason: 'connection-lost', totalMs: 80};
+
+const log = [
+	`  12.3 front-a ${line('front-a', 5000, 'leader-unknown', {service: 'ledger', from: 'i-1', to: 'none', term: 1, source: 'status'})}`,
+	line('front-a', 1000, 'leader-changed', {service: 'ledger', from: 'none', to: 'i-1', term: 1, source: 'status'}),
+	line('front-b', 5500, 'promotion-started', {service: 'ledger', reason: 'leader-unreachable'}),
+	// The clock of front-a stepped back between its two lines.
+	line('front-a', 6100, 'request-refused', refused, 1_600_000_000_000),
+	line('front-a', 6200, 'request-failed', forwarded),
+	line('front-c', 9000, 'forwarded-request-failed', {requestId: 'q2', service: 'ledger', code: 'timeout', reason: 'endpoint-silent'}),
+	'{"level":30,"time":17000',
+	'',
+].join('\n');
+
+// Guards against an explanation that follows clocks which stepped, stops at the first host, or fails on a cut log.
+test('explain joins the lines of a request and names the cause', async t => {
+	const file = join(t.testdir(), 'log');
+	writeFileSync(file, log);
+	t.matchSnapshot([
+		await runCtl('explain', 'q1', file),
+		await runCtl('explain', 'q2', file, '--json'),
+		await runCtl('explain', 'q9', file),
+		await runCtl('explain'),
+	]);
+});
--- a/packages/pooler/src/daemon/pooler.ts
+++ b/packages/pooler/src/daemon/pooler.ts
@@ -66,7 +66,7 @@
 				this.#updateGroups();
 			},
 		});
-		this.#forwards = new ForwardService({timers, executorOf: service => this.#executors.get(service)?.local});
+		this.#forwards = new ForwardService({timers, events, executorOf: service => this.#executors.get(service)?.local});
 		this.#announcements = new TermAnnouncements(platform);
 		this.#failover = new FailoverDriver({
 			lease: new DutyLease({
--- a/packages/pooler/src/fleet/fleet.ts
+++ b/packages/pooler/src/fleet/fleet.ts
@@ -128,7 +128,7 @@
 			const parsed = hostSchema.safeParse(value);
 			if (parsed.success && this.#seen.get(name)?.version !== version) {
 				if (!this.#seen.has(name)) {
-					this.options.events.write('host-appeared', {hostId: name, address: parsed.data.address, version});
+					this.options.events.write('host-appeared', {peerId: name, address: parsed.data.address, version});
 				}
 
 				this.#seen.set(name, {version, sinceMs: nowMs, host: parsed.data});
@@ -138,7 +138,7 @@
 		for (const name of this.#seen.keys()) {
 			if (!names.has(name)) {
 				this.#seen.delete(name);
-				this.options.events.write('host-gone', {hostId: name});
+				this.options.events.write('host-gone', {peerId: name});
 			}
 		}
 
--- a/packages/pooler/src/forward/forward-service.ts
+++ b/packages/pooler/src/forward/forward-service.ts
@@ -1,7 +1,8 @@
 import {type TimerService} from '@dogwoodthread/coordination';
 import {err} from 'neverthrow';
+import {type EventLog} from '../observability/index.js';
 import {
-	type Executor, type Operation, SessionState, statementFailure, type StatementResult, type TransactionHandle,
+	type Executor, type Operation, SessionState, statementFailure, type StatementFailure, type StatementResult, type TransactionHandle,
 } from '../session/index.js';
 import {
 	type ForwardedStatement, type ForwardReply, type ForwardRequest, type PeerLink,
@@ -9,6 +10,7 @@
 
 export type ForwardServiceOptions = {
 	timers: TimerService;
+	events: EventLog;
 	/** Runs statements over this host's own connections. */
 	executorOf: (service: string) => Executor | undefined;
 };
@@ -64,12 +66,22 @@
 		}
 
 		const result = await this.#run(request, transactions);
+		if (result.isErr()) {
+			this.#report(request.statement, result.error);
+		}
+
 		link.send(result.match<ForwardReply>(
 			answer => ({kind: 'answer', call: request.call, answer}),
 			failure => ({kind: 'answer', call: request.call, failure}),
 		));
 	}
 
+	#report({requestId, service, consistency, leftMs}: ForwardedStatement, {code, reason}: StatementFailure): void {
+		this.options.events.write('forwarded-request-failed', {
+			requestId, service, consistency, code, reason, leftMs: Math.round(leftMs), ...this.options.executorOf(service)?.describe(),
+		});
+	}
+
 	async #run(request: Exclude<ForwardRequest, {kind: 'ping' | 'abort'}>, transactions: Map<number, OpenTransaction>): Promise<StatementResult> {
 		const {statement} = request;
 		const executor = this.options.executorOf(statement.service);
--- a/packages/pooler/src/observability/budgeted-event-log.ts
+++ b/packages/pooler/src/observability/budgeted-event-log.ts
@@ -25,6 +25,7 @@
 	'clock-discontinuity',
 	'request-refused',
 	'request-failed',
+	'forwarded-request-failed',
 	'promotion-abandoned',
 ]);
 
--- a/packages/pooler/src/observability/definitions.ts
+++ b/packages/pooler/src/observability/definitions.ts
@@ -1,19 +1,47 @@
 /** Fields of a log line; names carry their unit. */
 export type EventFields = Record<string, string | number | boolean | undefined>;
 
-/**
- * Events that the daemon logs. `docs/OPERATIONS.md` says when each is written.
- */
-export type EventName =
-	| 'process-started' | 'process-ready' | 'process-not-ready' | 'process-stopping' | 'process-stopped' | 'settings-reloaded'
-	| 'dependency-lost' | 'dependency-restored'
-	| 'configuration-applied' | 'configuration-rejected' | 'endpoint-appeared' | 'endpoint-changed' | 'endpoint-gone'
-	| 'endpoint-entry-rejected' | 'endpoint-unreachable' | 'endpoint-reachable' | 'leader-changed' | 'leader-unknown' | 'connection-share-changed'
-	| 'clock-discontinuity'
-	| 'request-served' | 'request-refused' | 'request-failed' | 'request-retried' | 'session-refused'
-	| 'promotion-started' | 'promotion-step' | 'promotion-finished' | 'promotion-abandoned' | 'lease-acquired' | 'lease-released'
-	| 'departure-noted' | 'departure-not-noted'
-	| 'host-appeared' | 'host-gone';
+/** Events that the daemon logs. `docs/OPERATIONS.md` says when each is written. */
+export const eventNames = [
+	'process-started',
+	'process-ready',
+	'process-not-ready',
+	'process-stopping',
+	'process-stopped',
+	'settings-reloaded',
+	'dependency-lost',
+	'dependency-restored',
+	'configuration-applied',
+	'configuration-rejected',
+	'endpoint-appeared',
+	'endpoint-changed',
+	'endpoint-gone',
+	'endpoint-entry-rejected',
+	'endpoint-unreachable',
+	'endpoint-reachable',
+	'leader-changed',
+	'leader-unknown',
+	'connection-share-changed',
+	'clock-discontinuity',
+	'forwarded-request-failed',
+	'request-served',
+	'request-refused',
+	'request-failed',
+	'request-retried',
+	'session-refused',
+	'promotion-started',
+	'promotion-step',
+	'promotion-finished',
+	'promotion-abandoned',
+	'lease-acquired',
+	'lease-released',
+	'departure-noted',
+	'departure-not-noted',
+	'host-appeared',
+	'host-gone',
+] as const;
+
+export type EventName = typeof eventNames[number];
 
 /** Log of decisions. Never blocks; may drop lines when its budget is used up. */
 export type EventLog = {
--- a/packages/pooler/test/forward/forward.test.ts
+++ b/packages/pooler/test/forward/forward.test.ts
@@ -4,6 +4,7 @@
 import {
 	type Executor, type FleetHost, type ForwardReply, type ForwardRequest, ForwardService, HolderLink, type Operation, type PeerLink, RemoteExecutor, SessionState, statementFailure, type StatementResult,
 } from '../../src/index.js';
+import {MemoryEventLog} from '../fixtures/fake-endpoints.js';
 
 /** Two ends of a link in memory; `mute` drops what the holder sends. */
 class MemoryLink<Sent, Received> implements PeerLink<Sent, Received> {
@@ -84,7 +85,7 @@
 		}),
 		describe: () => ({}),
 	};
-	holder.service = new ForwardService({timers, executorOf: () => executor});
+	holder.service = new ForwardService({timers, events: new MemoryEventLog(), executorOf: () => executor});
 	return holder as Holder;
 }
 
--- a/packages/pooler/test/observability/budgeted-event-log.test.ts
+++ b/packages/pooler/test/observability/budgeted-event-log.test.ts
@@ -1,6 +1,9 @@
+import {readFile} from 'node:fs/promises';
 import {ManualTimerService} from '@dogwoodthread/coordination';
 import {test} from 'tap';
-import {BudgetedEventLog, type EventFields, isSampled} from '../../src/index.js';
+import {
+	BudgetedEventLog, type EventFields, eventNames, isSampled, PoolerMetrics,
+} from '../../src/index.js';
 
 // Guards against a flood of refusals that costs service or hides other events.
 test('each event has its own budget a second, and what is left out is counted', t => {
@@ -27,3 +30,10 @@
 	t.ok(share > 0.01 && share < 0.08, `share ${share}`);
 	t.end();
 });
+
+// Guards against events and metrics that operators meet and cannot look up.
+test('the operators\' page has every event and metric', async t => {
+	const page = await readFile(new URL('../../../../docs/OPERATIONS.md', import.meta.url), 'utf8');
+	const metrics = new PoolerMetrics().registry.getMetricsAsArray().map(({name}) => name);
+	t.same([...eventNames, ...metrics].filter(name => !page.includes(`\`${name}`)), []);
+});
--- a/packages/proxy/test/outcome/operators-page.test.ts
+++ b/packages/proxy/test/outcome/operators-page.test.ts
@@ -3,7 +3,7 @@
 import {ProxyMetrics} from '../../src/admin/index.js';
 import {notRunCatalogue, unknownCatalogue} from '../../src/outcome/catalogue.js';
 
-const page = new URL('../../../../docs/operators.md', import.meta.url);
+const page = new URL('../../../../docs/OPERATIONS.md', import.meta.url);
 
 /** First two cells of the table rows below a heading. */
 const rowsBelow = (text: string, heading: string): Array<[string, string]> => {
--- /dev/null
+++ b/tap-snapshots/packages/ctl/test/explain/explain.test.ts.test.cjs
@@ -0,0 +1,40 @@
+/* IMPORTANT
+ * This snapshot file is auto-generated, but designed for humans.
+ * It should be checked into source control and tracked carefully.
+ * Re-generate by setting TAP_SNAPSHOT=1 and running tests.
+ * Make sure to inspect the output below.  Do not ignore changes!
+ */
+'use strict'
+exports[`packages/ctl/test/explain/explain.test.ts > TAP > explain joins the lines of a request and names the cause > must match snapshot 1`] = `
+Array [
+  Object {
+    "code": 0,
+    "output": String(
+      TIME front-a +1000 ms leader-changed service=ledger from=none to=i-1 term=1 source=status
+      TIME front-a +5000 ms leader-unknown service=ledger from=i-1 to=none term=1 source=status
+      TIME front-a +6100 ms request-refused requestId=q1 service=ledger code=busy reason=leader-unknown totalMs=1000
+      Ended with busy at front-a: no primary was known for the whole time of the statement. Latest change of belief there: leader-unknown 1100 ms earlier.
+      
+    ),
+  },
+  Object {
+    "code": 0,
+    "output": String(
+      {"time":1700000001000,"hostId":"front-a","event":"leader-changed","monotonicMs":1000,"level":30,"service":"ledger","from":"none","to":"i-1","term":1,"source":"status"}
+      {"time":1700000005000,"hostId":"front-a","event":"leader-unknown","monotonicMs":5000,"level":30,"service":"ledger","from":"i-1","to":"none","term":1,"source":"status"}
+      {"time":1700000006200,"hostId":"front-a","event":"request-failed","monotonicMs":6200,"level":30,"requestId":"q2","service":"ledger","code":"in-doubt","reason":"connection-lost","totalMs":80}
+      {"time":1700000009000,"hostId":"front-c","event":"forwarded-request-failed","monotonicMs":9000,"level":30,"requestId":"q2","service":"ledger","code":"timeout","reason":"endpoint-silent"}
+      {"event":"cause","requestId":"q2","cause":"Ended with timeout at front-c: the instance did not answer within the time of the statement.","damaged":1}
+      
+    ),
+  },
+  Object {
+    "code": 1,
+    "output": "No line names q9 in 6 lines (1 damaged). Served requests are sampled; give the logs of all hosts.\\n",
+  },
+  Object {
+    "code": 2,
+    "output": "",
+  },
+]
+`
