--- a/packages/pooler/src/failover/duty-lease.ts
+++ b/packages/pooler/src/failover/duty-lease.ts
@@ -1,5 +1,5 @@
 import {type Platform, type TimerService} from '@dogwoodthread/coordination';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type ContinuityClock} from '../group/index.js';
 import {type EventLog} from '../observability/index.js';
 
--- a/packages/pooler/src/failover/term-announcements.ts
+++ b/packages/pooler/src/failover/term-announcements.ts
@@ -1,7 +1,7 @@
 import {
 	comparePositions, type LogPosition, maxPosition, type Platform, zeroPosition,
 } from '@dogwoodthread/coordination';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const positionSchema = z.object({term: z.number().int(), index: z.number().int()});
 const announcementSchema = z.object({
--- a/packages/pooler/src/fleet/fleet.ts
+++ b/packages/pooler/src/fleet/fleet.ts
@@ -1,5 +1,5 @@
 import {type Platform, type TimerService} from '@dogwoodthread/coordination';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type EventLog} from '../observability/index.js';
 
 export type FleetOptions = {
