End a forwarded transaction with the connection it began on

The link was opened again with the next statement, and the holder began another transaction with it. Change: a transaction is tied to one connection of the link; without it the client hears that nothing is kept. Entries of hosts without confirmation for 150 s are taken out of the store. Before and after: two new tests failed before.

--- a/packages/pooler/src/fleet/fleet.ts
+++ b/packages/pooler/src/fleet/fleet.ts
@@ -34,6 +34,8 @@
 /** An entry that was not confirmed for this long belongs to a host that is gone, in ms. */
 const goneAfterMs = 50_000;
 const retryMs = 500;
+/** Nothing at the store expires by itself, so an entry without confirmation for this long is taken out, in ms. */
+const removeAfterMs = 150_000;
 
 /** The hosts of the system, from their entries at the platform's store. */
 export class Fleet {
@@ -101,6 +103,14 @@
 		});
 	}
 
+	/** The version keeps a host that came back meanwhile from losing its entry. */
+	#removeAbandoned(nowMs: number): void {
+		const abandoned = [...this.#seen].filter(([, {sinceMs}]) => nowMs - sinceMs > removeAfterMs);
+		for (const [name, {version}] of abandoned) {
+			void this.options.platform.remove('hosts', name, version);
+		}
+	}
+
 	#retryUntilLoaded(): void {
 		if (!this.#isLoaded) {
 			this.options.timers.after(retryMs, () => {
@@ -142,6 +152,7 @@
 			}
 		}
 
+		this.#removeAbandoned(nowMs);
 		this.options.onRefresh?.();
 	}
 }
--- a/packages/pooler/src/forward/holder-link.ts
+++ b/packages/pooler/src/forward/holder-link.ts
@@ -31,6 +31,7 @@
 	readonly #pending = new Map<number, (result: CallResult) => void>();
 	#link: PeerLink<ForwardRequest, ForwardReply> | undefined;
 	#nextCall = 1;
+	#generation = 0;
 	#lastMessageMs = 0;
 	#avoidUntilMs = Number.NEGATIVE_INFINITY;
 	#ping: TimerSubscription | undefined;
@@ -46,11 +47,20 @@
 	}
 
 	/** Grows with each new connection; a transaction lives on one. */
+	get generation(): number {
+		return this.#generation;
+	}
+
 	get isOpen(): boolean {
 		return this.#link?.isOpen ?? false;
 	}
 
-	async call(request: WithoutCall<CallRequest>): Promise<CallResult> {
+	/** Sends a call; with `generation` only over that connection. */
+	async call(request: WithoutCall<CallRequest>, generation?: number): Promise<CallResult> {
+		if (generation !== undefined && (generation !== this.#generation || !this.isOpen)) {
+			return {kind: 'not-sent'};
+		}
+
 		const link = this.#open();
 		const call = this.#nextCall;
 		this.#nextCall += 1;
@@ -81,6 +91,7 @@
 			return this.#link;
 		}
 
+		this.#generation += 1;
 		const {connector, address, timers} = this.options;
 		const link = connector.connect(address);
 		this.#link = link;
--- a/packages/pooler/src/forward/remote-executor.ts
+++ b/packages/pooler/src/forward/remote-executor.ts
@@ -113,6 +113,8 @@
 class RemoteTransaction implements TransactionHandle {
 	#state: TransactionHandle['state'] = 'open';
 	#link: HolderLink | undefined;
+	/** Connection of the link on which the transaction began; it does not outlive that. */
+	#generation: number | undefined;
 	#hasWritten = false;
 
 	constructor(
@@ -138,9 +140,11 @@
 			tried.add(link);
 			this.#hasWritten ||= isWrite;
 
-			const called = await link.call({
+			const call = link.call({
 				kind: 'transaction', transaction: this.transaction, begin: this.#begin, statement: this.executor.forwarded(operation), command: statement.command, prepared: statement.prepared, isWrite,
-			});
+			}, this.#generation);
+			this.#generation ??= link.generation;
+			const called = await call;
 			const mayRetry = isFirst && tried.size < maxAttempts && (called.kind !== 'answered' || isRefusal(called.result));
 			if (!mayRetry) {
 				return this.#settle(called);
@@ -149,6 +153,7 @@
 			// The first statement did not run, or its transaction is rolled back with the link.
 			link.abort(this.transaction);
 			this.#link = undefined;
+			this.#generation = undefined;
 			operation.attempts += 1;
 		}
 	}
@@ -162,7 +167,11 @@
 
 		const called = await link.call({
 			kind: 'commit', transaction: this.transaction, begin: this.#begin, statement: this.executor.forwarded(operation),
-		});
+		}, this.#generation);
+		if (called.kind === 'not-sent') {
+			return err({...statementFailure('transaction-failed'), reason: 'connection-lost'});
+		}
+
 		if (called.kind !== 'answered') {
 			return err(this.#hasWritten ? statementFailure('connection-lost') : statementFailure('transaction-failed'));
 		}
--- a/packages/pooler/test/forward/forward.test.ts
+++ b/packages/pooler/test/forward/forward.test.ts
@@ -217,3 +217,19 @@
 	await second!.commit(fleet.operation());
 	t.same(fleet.holders[0]!.ran, ['t1/write', 't2/write', 't2/commit']);
 });
+
+// Guards against a transaction that goes on over a new link, at the holder as another one (connections reset on
+// kiambu-nets-grown, day trouble-1: PINNED).
+for (const next of ['statement', 'commit'] as const) {
+	test(`a link that was lost between two statements ends the transaction: ${next}`, async t => {
+		const {remote, operation, holders, session} = createFleet();
+		const transaction = remote.begin({
+			id: 't1', readOnly: false, session, beganAtMs: 0,
+		});
+		await transaction.run(write, true, operation());
+		holders[0]!.links[0]!.close();
+		t.equal(described(next === 'commit' ? await transaction.commit(operation()) : await transaction.run(write, true, operation())), 'aborted');
+		t.same(holders[0]!.ran, ['t1/write', 't1/abort']);
+		t.same(holders[1]!.ran, []);
+	});
+}
