--- a/packages/ctl/src/commands/explain/core/explain-command.ts
+++ b/packages/ctl/src/commands/explain/core/explain-command.ts
@@ -17,7 +17,9 @@
 		const explanation = explainRequest(lines, requestId);
 		if (!explanation) {
 			print({
-				json: {event: 'not-found', requestId, lines: lines.length, damaged},
+				json: {
+					event: 'not-found', requestId, lines: lines.length, damaged,
+				},
 				text: `No line names ${requestId} in ${lines.length} lines (${damaged} damaged). Served requests are sampled; give the logs of all hosts.`,
 			});
 			return 1;
--- a/packages/ctl/src/commands/explain/domain/explain-request.ts
+++ b/packages/ctl/src/commands/explain/domain/explain-request.ts
@@ -12,9 +12,22 @@
 const contextMs = 6000;
 
 const beliefEvents: ReadonlySet<string> = new Set([
-	'leader-changed', 'leader-unknown', 'endpoint-unreachable', 'endpoint-reachable', 'endpoint-changed', 'endpoint-gone',
-	'promotion-started', 'promotion-finished', 'promotion-abandoned', 'dependency-lost', 'dependency-restored',
-	'clock-discontinuity', 'connection-share-changed', 'configuration-applied', 'process-started', 'process-stopping',
+	'leader-changed',
+	'leader-unknown',
+	'endpoint-unreachable',
+	'endpoint-reachable',
+	'endpoint-changed',
+	'endpoint-gone',
+	'promotion-started',
+	'promotion-finished',
+	'promotion-abandoned',
+	'dependency-lost',
+	'dependency-restored',
+	'clock-discontinuity',
+	'connection-share-changed',
+	'configuration-applied',
+	'process-started',
+	'process-stopping',
 ]);
 
 const causes: Record<string, string> = {
@@ -35,33 +48,35 @@
 
 /** Joins the lines of all hosts on one request; undefined if none names it. */
 export function explainRequest(all: readonly LogLine[], requestId: string): Explanation | undefined {
-	const own = all.filter(line => line['requestId'] === requestId);
+	const own = all.filter(line => line.requestId === requestId);
 	if (own.length === 0) {
 		return undefined;
 	}
 
 	const context = all.filter(line => beliefEvents.has(line.event) && own.some(request => mayHaveDecided(line, request)));
-	const lines = [...own, ...context].toSorted((a, b) => a.hostId === b.hostId ? a.monotonicMs - b.monotonicMs : a.time - b.time);
+	const lines = [...own, ...context].toSorted((a, b) => isSameLife(a, b) ? a.monotonicMs - b.monotonicMs : a.time - b.time);
 	// A holder's own line is closer to the cause than that of the host which forwarded the request to it.
 	const decisive = own.find(({event}) => event === 'forwarded-request-failed') ?? own.find(({reason}) => reason !== undefined) ?? own[0]!;
 	return {requestId, cause: causeOf(decisive, context), lines};
 }
 
+const isSameLife = (a: LogLine, b: LogLine): boolean => a.hostId === b.hostId && a.incarnation === b.incarnation;
+
 /** Compares times of one process only, since the clocks of hosts differ and may step. */
 const mayHaveDecided = (belief: LogLine, request: LogLine): boolean =>
-	belief.hostId === request.hostId
+	isSameLife(belief, request)
 	&& belief.monotonicMs <= request.monotonicMs
 	&& request.monotonicMs - belief.monotonicMs <= contextMs
-	&& (belief['service'] === undefined || belief['service'] === request['service']);
+	&& (belief.service === undefined || belief.service === request.service);
 
 function causeOf(line: LogLine, context: readonly LogLine[]): string {
-	const reason = line['reason'];
+	const {reason} = line;
 	if (typeof reason !== 'string') {
-		return `Served at ${line.hostId} after ${String(line['totalMs'])} ms.`;
+		return `Served at ${line.hostId} after ${String(line.totalMs)} ms.`;
 	}
 
-	const detail = typeof line['detail'] === 'string' ? ` (${line['detail']})` : '';
-	const latest = context.filter(({hostId}) => hostId === line.hostId).toSorted((a, b) => a.monotonicMs - b.monotonicMs).at(-1);
+	const detail = typeof line.detail === 'string' ? ` (${line.detail})` : '';
+	const latest = context.filter(belief => isSameLife(belief, line)).toSorted((a, b) => a.monotonicMs - b.monotonicMs).at(-1);
 	const before = latest ? ` Latest change of belief there: ${latest.event} ${Math.round(line.monotonicMs - latest.monotonicMs)} ms earlier.` : '';
-	return `Ended with ${String(line['code'])} at ${line.hostId}: ${causes[reason] ?? reason}${detail}.${before}`;
+	return `Ended with ${String(line.code)} at ${line.hostId}: ${causes[reason] ?? reason}${detail}.${before}`;
 }
--- a/packages/ctl/src/commands/explain/domain/log-lines.ts
+++ b/packages/ctl/src/commands/explain/domain/log-lines.ts
@@ -6,13 +6,15 @@
 	time: number;
 	hostId: string;
 	event: string;
+	/** Life of the process; steady times of two lives must not be compared. */
+	incarnation?: string;
 	/** Steady time of that process, in ms. */
 	monotonicMs: number;
 	[field: string]: unknown;
 };
 
 const lineSchema = z.looseObject({
-	time: z.number(), hostId: z.string(), event: z.string(), monotonicMs: z.number(),
+	time: z.number(), hostId: z.string(), event: z.string(), incarnation: z.string().optional(), monotonicMs: z.number(),
 });
 
 /** Lines of logs; text before the JSON, as log collectors add it, is skipped. */
--- a/packages/ctl/test/explain/explain.test.ts
+++ b/packages/ctl/test/explain/explain.test.ts
@@ -8,17 +8,29 @@
 		level: 30, time, hostId, event, monotonicMs, ...fields,
 	});
 
-const refused = {requestId: 'q1', service: 'ledger', code: 'busy', reason: 'leader-unknown', totalMs: 1000};
-const forwarded = {requestId: 'q2', service: 'ledger', code: 'in-doubt', reason: 'connection-lost', totalMs: 80};
+const refused = {
+	requestId: 'q1', service: 'ledger', code: 'busy', reason: 'leader-unknown', totalMs: 1000,
+};
+const forwarded = {
+	requestId: 'q2', service: 'ledger', code: 'in-doubt', reason: 'connection-lost', totalMs: 80,
+};
 
 const log = [
-	`  12.3 front-a ${line('front-a', 5000, 'leader-unknown', {service: 'ledger', from: 'i-1', to: 'none', term: 1, source: 'status'})}`,
-	line('front-a', 1000, 'leader-changed', {service: 'ledger', from: 'none', to: 'i-1', term: 1, source: 'status'}),
+	`  12.3 front-a ${line('front-a', 5000, 'leader-unknown', {
+		service: 'ledger', from: 'i-1', to: 'none', term: 1, source: 'status',
+	})}`,
+	line('front-a', 1000, 'leader-changed', {
+		service: 'ledger', from: 'none', to: 'i-1', term: 1, source: 'status',
+	}),
 	line('front-b', 5500, 'promotion-started', {service: 'ledger', reason: 'leader-unreachable'}),
 	// The clock of front-a stepped back between its two lines.
 	line('front-a', 6100, 'request-refused', refused, 1_600_000_000_000),
 	line('front-a', 6200, 'request-failed', forwarded),
-	line('front-c', 9000, 'forwarded-request-failed', {requestId: 'q2', service: 'ledger', code: 'timeout', reason: 'endpoint-silent'}),
+	line('front-c', 9000, 'forwarded-request-failed', {
+		requestId: 'q2', service: 'ledger', code: 'timeout', reason: 'endpoint-silent',
+	}),
+	// The same host after a restart: its steady time started again.
+	line('front-a', 6050, 'endpoint-unreachable', {service: 'ledger', endpointId: 'i-2', incarnation: 'later'}),
 	'{"level":30,"time":17000',
 	'',
 ].join('\n');
--- a/tap-snapshots/packages/ctl/test/explain/explain.test.ts.test.cjs
+++ b/tap-snapshots/packages/ctl/test/explain/explain.test.ts.test.cjs
@@ -30,7 +30,7 @@
   },
   Object {
     "code": 1,
-    "output": "No line names q9 in 6 lines (1 damaged). Served requests are sampled; give the logs of all hosts.\\n",
+    "output": "No line names q9 in 7 lines (1 damaged). Served requests are sampled; give the logs of all hosts.\\n",
   },
   Object {
     "code": 2,
