Clear the linter's last four findings

Cause: assignments in returns, an index signature after fields, and a call of main where a module would await. No behaviour changes.

--- a/packages/ctl/src/commands/explain/domain/log-lines.ts
+++ b/packages/ctl/src/commands/explain/domain/log-lines.ts
@@ -2,6 +2,7 @@
 
 /** A line that a daemon logged. */
 export type LogLine = {
+	[field: string]: unknown;
 	/** Time of day at the host that wrote it, Unix time in ms; hosts differ. */
 	time: number;
 	hostId: string;
@@ -10,7 +11,6 @@
 	incarnation?: string;
 	/** Steady time of that process, in ms. */
 	monotonicMs: number;
-	[field: string]: unknown;
 };
 
 const lineSchema = z.looseObject({
--- a/packages/pooler/src/daemon/pooler.ts
+++ b/packages/pooler/src/daemon/pooler.ts
@@ -196,7 +196,10 @@
 			service, timers, random, failureDomain: self.failureDomain,
 			holders: () => this.#plans.get(service)?.holders.filter(({hostId}) => hostId !== self.hostId) ?? [],
 			linkTo: host => this.#linkTo(host),
-			nextTransaction: () => this.#forwardedTransactions += 1,
+			nextTransaction: () => {
+				this.#forwardedTransactions += 1;
+				return this.#forwardedTransactions;
+			},
 		});
 	}
 
--- a/packages/pooler/test/forward/forward.test.ts
+++ b/packages/pooler/test/forward/forward.test.ts
@@ -110,7 +110,11 @@
 	const session = new SessionState();
 	let transactions = 0;
 	const createRemote = (service: string) => new RemoteExecutor({
-		nextTransaction: () => transactions += 1, service, timers, random: () => 0, failureDomain: 'a', holders: () => holders.map(({host}) => host), linkTo: ({hostId}) => links.get(hostId)!,
+		nextTransaction() {
+			transactions += 1;
+			return transactions;
+		},
+		service, timers, random: () => 0, failureDomain: 'a', holders: () => holders.map(({host}) => host), linkTo: ({hostId}) => links.get(hostId)!,
 	});
 	const operation = (): Operation => ({
 		id: 'q', session, arrivedAtMs: timers.nowMs(), deadlineMs: timers.nowMs() + 3000, attempts: 0,
