Let a holder that loses its role finish its transactions

Cause: read in the code while looking for what ends transactions in a rolling restart: a holder without connections of its own refused the next statement of a transaction that it still had open. Change: an open transaction goes on; only new work is refused. Before and after: the new test failed before.

--- a/packages/pooler/src/forward/forward-service.ts
+++ b/packages/pooler/src/forward/forward-service.ts
@@ -83,18 +83,17 @@
 	}
 
 	async #run(request: Exclude<ForwardRequest, {kind: 'ping' | 'abort'}>, transactions: Map<number, OpenTransaction>): Promise<StatementResult> {
-		const {statement} = request;
-		const executor = this.options.executorOf(statement.service);
-		if (!executor) {
-			return err(statementFailure('no-connection'));
+		if (request.kind === 'single') {
+			return this.#runSingle(request);
 		}
 
-		if (request.kind === 'single') {
-			const operation = this.#operation(statement, sessionOf(statement));
-			return executor.runSingle({command: request.command, prepared: request.prepared}, request.isWrite, operation);
+		const {statement} = request;
+		// A transaction goes on here although this host may no longer hold connections to the service.
+		const open = transactions.get(request.transaction) ?? this.#begin(request);
+		if (!open) {
+			return err(statementFailure('no-connection'));
 		}
 
-		const open = transactions.get(request.transaction) ?? this.#begin(executor, request);
 		transactions.set(request.transaction, open);
 		for (const [name, value] of statement.values) {
 			open.session.values.set(name, value);
@@ -109,7 +108,19 @@
 		return open.handle.run({command: request.command, prepared: request.prepared}, request.isWrite, operation);
 	}
 
-	#begin(executor: Executor, {begin, statement}: Extract<ForwardRequest, {kind: 'transaction' | 'commit'}>): OpenTransaction {
+	async #runSingle({statement, command, prepared, isWrite}: Extract<ForwardRequest, {kind: 'single'}>): Promise<StatementResult> {
+		const executor = this.options.executorOf(statement.service);
+		return executor
+			? executor.runSingle({command, prepared}, isWrite, this.#operation(statement, sessionOf(statement)))
+			: err(statementFailure('no-connection'));
+	}
+
+	#begin({begin, statement}: Extract<ForwardRequest, {kind: 'transaction' | 'commit'}>): OpenTransaction | undefined {
+		const executor = this.options.executorOf(statement.service);
+		if (!executor) {
+			return undefined;
+		}
+
 		const session = sessionOf(statement);
 		const handle = executor.begin({
 			id: begin.id, readOnly: begin.readOnly, session, beganAtMs: this.options.timers.nowMs(),
--- a/packages/pooler/test/forward/forward.test.ts
+++ b/packages/pooler/test/forward/forward.test.ts
@@ -50,7 +50,7 @@
 	}
 }
 
-type Holder = {host: FleetHost; service: ForwardService; ran: string[]; links: Array<MemoryLink<ForwardReply, ForwardRequest>>; answer: () => Promise<StatementResult>};
+type Holder = {host: FleetHost; service: ForwardService; isHolder: boolean; ran: string[]; links: Array<MemoryLink<ForwardReply, ForwardRequest>>; answer: () => Promise<StatementResult>};
 
 const done = async (): Promise<StatementResult> => ok({
 	rows: ['row'], signature: 'sig', transaction: 'idle', position: {term: 1, index: 5},
@@ -59,7 +59,7 @@
 
 function createHolder(timers: ManualTimerService, name: string): Holder {
 	const holder: Partial<Holder> & Pick<Holder, 'ran' | 'links'> = {
-		ran: [], links: [], answer: done, host: {
+		isHolder: true, ran: [], links: [], answer: done, host: {
 			hostId: name, address: name, failureDomain: name, startedAtMs: 0,
 		},
 	};
@@ -85,7 +85,7 @@
 		}),
 		describe: () => ({}),
 	};
-	holder.service = new ForwardService({timers, events: new MemoryEventLog(), executorOf: () => executor});
+	holder.service = new ForwardService({timers, events: new MemoryEventLog(), executorOf: () => holder.isHolder ? executor : undefined});
 	return holder as Holder;
 }
 
@@ -237,3 +237,17 @@
 		t.same(holders[1]!.ran, []);
 	});
 }
+
+// Guards against transactions that fail because the fleet grew and their holder holds no connections any more.
+test('a holder that loses its role finishes the transactions that it has', async t => {
+	const {remote, operation, holders, session} = createFleet();
+	const transaction = remote.begin({
+		id: 't1', readOnly: false, session, beganAtMs: 0,
+	});
+	await transaction.run(write, true, operation());
+	holders[0]!.isHolder = false;
+	t.equal(described(await transaction.run(write, true, operation())), 'sig');
+	t.equal(described(await transaction.commit(operation())), 'sig');
+	await remote.runSingle(read, false, operation());
+	t.same([holders[0]!.ran, holders[1]!.ran], [['t1/write', 't1/write', 't1/commit'], ['read']]);
+});
