Split single statements by kind and take position bounds out of the group

Cause: run-single.ts held writes, two kinds of reads and the retry loop twice; group.ts kept the list of bounds beside all else. Change: one file a kind, one loop; PositionBounds. A member that starts again under its id counts as departed, since its log is gone as well.

--- a/packages/pooler/src/group/group.ts
+++ b/packages/pooler/src/group/group.ts
@@ -5,6 +5,7 @@
 import {type EventLog} from '../observability/index.js';
 import {type ContinuityClock} from './continuity-clock.js';
 import {type Member} from './member.js';
+import {PositionBounds} from './position-bounds.js';
 
 export type GroupOptions = {
 	service: string;
@@ -18,12 +19,9 @@
 	/** Position that members which are gone may have acknowledged; undefined if the store does not answer. */
 	departedFloor: () => Promise<LogPosition | undefined>;
 	/** Told when a member is gone, with a position that bounds what it may have acknowledged. */
-	onDeparture: (memberId: string, position: LogPosition) => void;
+	onDeparture: (incarnation: string, position: LogPosition) => void;
 };
 
-/** Every commit acknowledged before `askedAtMs` is at or before `position`. */
-type PositionBound = {askedAtMs: number; position: LogPosition; epoch: number};
-
 /** Interval at which a group looks whether a member must be asked for its status, in ms. */
 const checkIntervalMs = 100;
 /** A primary that answered nothing for this long is asked, in ms. Every status request is charged. */
@@ -58,8 +56,6 @@
 const floorIntervalMs = 1000;
 /** An entry that is missing for this long belongs to an endpoint that is gone, in ms. */
 const missingRetentionMs = 5000;
-/** Bounds older than this serve no route, in ms. */
-const boundRetentionMs = 10_000;
 
 /** The instances of one database: who leads, how far the log is known, and who may serve. */
 export class Group {
@@ -71,7 +67,7 @@
 	/** When a replica that turned out not to be fenced was asked, in ms. */
 	#unfencedAskedAtMs = Number.NEGATIVE_INFINITY;
 	#unfencedEpoch = -1;
-	#bounds: PositionBound[] = [];
+	readonly #bounds: PositionBounds;
 	readonly #waiters = new Set<() => void>();
 	readonly #checks: TimerSubscription;
 	#proof: Promise<void> | undefined;
@@ -82,6 +78,7 @@
 
 	constructor(private readonly options: GroupOptions) {
 		this.#limits = options.limits;
+		this.#bounds = new PositionBounds(options.timers, options.clock);
 		this.#leaderlessSinceMs = options.timers.nowMs();
 		this.#checks = options.timers.every(checkIntervalMs, () => {
 			this.#check();
@@ -204,16 +201,12 @@
 		}
 
 		this.#noteUnfenced(sentAtMs);
-		this.#addBound(sentAtMs, position);
+		this.#bounds.add(sentAtMs, position);
 	}
 
-	/**
-	 * Oldest known position that bounds all commits acknowledged before `sinceMs`; the older it is, the more
-	 * replicas have it.
-	 */
+	/** Oldest known position that bounds all commits acknowledged before `sinceMs`. */
 	boundSince(sinceMs: number): LogPosition | undefined {
-		const epoch = this.options.clock.epoch();
-		return this.#bounds.find(bound => bound.epoch === epoch && bound.askedAtMs >= sinceMs)?.position;
+		return this.#bounds.since(sinceMs);
 	}
 
 	/** As `boundSince`, asking the members if nothing is known, or renewing in advance what will soon be too old. */
@@ -392,7 +385,7 @@
 		}
 
 		if (member === this.#leader && status.role === 'primary' && this.isLeadershipProven(member.statusAskedAtMs)) {
-			this.#addBound(member.statusAskedAtMs, status.received);
+			this.#bounds.add(member.statusAskedAtMs, status.received);
 		}
 
 		this.#updateBounds();
@@ -418,17 +411,7 @@
 		}
 
 		const position = highestOf([...asked.map(({status}) => status!.received), ...(this.#floor ? [this.#floor] : [])]);
-		this.#addBound(asked.at(-1)!.statusAskedAtMs, position);
-	}
-
-	#addBound(askedAtMs: number, position: LogPosition): void {
-		const epoch = this.options.clock.epoch();
-		const last = this.#bounds.at(-1);
-		if (!last || askedAtMs > last.askedAtMs) {
-			this.#bounds.push({askedAtMs, position, epoch});
-			const oldestMs = this.options.timers.nowMs() - boundRetentionMs;
-			this.#bounds = this.#bounds.filter(bound => bound.askedAtMs >= oldestMs && bound.epoch === epoch);
-		}
+		this.#bounds.add(asked.at(-1)!.statusAskedAtMs, position);
 	}
 
 	#noteUnfenced(askedAtMs: number): void {
@@ -482,7 +465,8 @@
 			this.#setLeader(undefined, reason);
 		}
 
-		if (reason === 'left' || reason === 'entry-missing') {
+		// A member that started again under its id has lost its log as well.
+		if (reason === 'left' || reason === 'entry-missing' || reason === 'restarted') {
 			void this.#noteDeparture(member);
 		}
 	}
@@ -494,11 +478,11 @@
 
 	/** The primary's position after a member is gone bounds all that the member acknowledged. */
 	async #noteDeparture(member: Member): Promise<void> {
-		const known = highestOf([this.#bounds.at(-1)?.position ?? zeroPosition, this.#floor ?? zeroPosition]);
+		const known = highestOf([this.#bounds.latest ?? zeroPosition, this.#floor ?? zeroPosition]);
 		this.#floor = undefined;
 		const status = await this.#leader?.control({kind: 'status'}, statusTimeoutMs);
 		const isKnown = status?.role === 'primary';
-		this.options.onDeparture(member.id, isKnown ? status.received : known);
+		this.options.onDeparture(`${member.id}@${member.endpoint.bornAtMs}`, isKnown ? status.received : known);
 		if (isKnown) {
 			this.#floor = status.received;
 		}
--- a/packages/pooler/src/session/executor.ts
+++ b/packages/pooler/src/session/executor.ts
@@ -2,7 +2,7 @@
 import {type EndpointAnswer} from '../endpoint/index.js';
 import {type StatementFailure} from './errors.js';
 import {type Operation} from './operation.js';
-import {type SingleStatement} from './run-single.js';
+import {type SingleStatement} from './single-statement.js';
 import {type SessionState} from './session-state.js';
 
 export type StatementResult = Result<EndpointAnswer, StatementFailure>;
--- a/packages/pooler/src/session/index.ts
+++ b/packages/pooler/src/session/index.ts
@@ -7,6 +7,6 @@
 } from './executor.js';
 export {LocalExecutor, type LocalExecutorContext} from './local-executor.js';
 export type {Operation} from './operation.js';
-export type {SingleStatement} from './run-single.js';
+export type {SingleStatement} from './single-statement.js';
 export {Session, type SessionContext} from './session.js';
 export {SessionState, type PreparedStatement} from './session-state.js';
--- a/packages/pooler/src/session/local-executor.ts
+++ b/packages/pooler/src/session/local-executor.ts
@@ -4,9 +4,10 @@
 	type BeginRequest, type Executor, type StatementResult, type TransactionHandle,
 } from './executor.js';
 import {type Operation, type OperationContext} from './operation.js';
-import {
-	runBoundedRead, runPrimaryRead, runSingleWrite, type SingleStatement,
-} from './run-single.js';
+import {runBoundedRead} from './run-bounded-read.js';
+import {runPrimaryRead} from './run-primary-read.js';
+import {runSingleWrite} from './run-write.js';
+import {type SingleStatement} from './single-statement.js';
 import {Transaction} from './transaction.js';
 
 export type LocalExecutorContext = OperationContext & {hedges: RetryBudget};
--- a/packages/pooler/src/session/session.ts
+++ b/packages/pooler/src/session/session.ts
@@ -4,7 +4,7 @@
 import {statementFailure, type StatementFailure} from './errors.js';
 import {type Operation, type OperationContext} from './operation.js';
 import {type Executor, type StatementResult, type TransactionHandle} from './executor.js';
-import {type SingleStatement} from './run-single.js';
+import {type SingleStatement} from './single-statement.js';
 import {SessionState} from './session-state.js';
 
 export type SessionContext = OperationContext & {
--- a/packages/pooler/src/session/transaction.ts
+++ b/packages/pooler/src/session/transaction.ts
@@ -7,7 +7,7 @@
 } from './operation.js';
 import {type TransactionHandle} from './executor.js';
 import {prepareConnection} from './prepare-connection.js';
-import {rollBack, type SingleStatement} from './run-single.js';
+import {rollBack, type SingleStatement} from './single-statement.js';
 import {type SessionState} from './session-state.js';
 
 /** Pause before a statement that the endpoint refused as busy is sent again on the same connection, in ms. */
