Send a write to the next holder if the first was never reached

Change: a link knows whether it was ever connected; opening has 250 ms. Before and after: the new test failed before.

--- a/packages/pooler/src/forward/definitions.ts
+++ b/packages/pooler/src/forward/definitions.ts
@@ -35,6 +35,8 @@
 /** A connection between two hosts, with whole messages in order. */
 export type PeerLink<Sent, Received> = {
 	readonly isOpen: boolean;
+	/** Whether the other side was ever reached; until then nothing has been sent. */
+	readonly isConnected: boolean;
 	send(message: Sent): void;
 	close(): void;
 	onMessage(callback: (message: Received) => void): void;
--- a/packages/pooler/src/forward/holder-link.ts
+++ b/packages/pooler/src/forward/holder-link.ts
@@ -21,6 +21,8 @@
 const pingIntervalMs = 300;
 /** A link without any message for this long while calls are open is given up, in ms. */
 const silenceMs = 1000;
+/** Time for opening a connection to a holder, in ms; hosts are a few ms apart. */
+const connectTimeoutMs = 250;
 /** A holder that could not be reached, or leaves, is passed over for this long, in ms. */
 const avoidMs = 2000;
 /** The answer may come this much later than the holder's own deadline, in ms. */
@@ -102,7 +104,7 @@
 		});
 		link.onClose(() => {
 			if (this.#link === link) {
-				this.#onClosed();
+				this.#onClosed(link.isConnected ? 'lost' : 'not-sent');
 			}
 		});
 		this.#ping ??= timers.every(pingIntervalMs, () => {
@@ -125,7 +127,8 @@
 			return;
 		}
 
-		if (this.options.timers.nowMs() - this.#lastMessageMs > silenceMs) {
+		const limitMs = this.#link.isConnected ? silenceMs : connectTimeoutMs;
+		if (this.options.timers.nowMs() - this.#lastMessageMs > limitMs) {
 			this.#link.close();
 			return;
 		}
@@ -133,13 +136,13 @@
 		this.#link.send({kind: 'ping'});
 	}
 
-	#onClosed(): void {
+	#onClosed(kind: 'lost' | 'not-sent'): void {
 		this.#link = undefined;
 		this.#avoidUntilMs = this.options.timers.nowMs() + avoidMs;
 		this.#ping?.cancel();
 		this.#ping = undefined;
 		for (const call of this.#pending.keys()) {
-			this.#settle(call, {kind: 'lost'});
+			this.#settle(call, {kind});
 		}
 	}
 
--- a/packages/pooler/src/forward/tcp-peer-link.ts
+++ b/packages/pooler/src/forward/tcp-peer-link.ts
@@ -11,8 +11,13 @@
 /** JSON lines over one TCP connection. Strings keep the bytes of the wire as Latin-1 characters. */
 class TcpPeerLink<Sent, Received> implements PeerLink<Sent, Received> {
 	#rest = '';
+	#isConnected = false;
 
 	constructor(private readonly socket: Socket) {
+		this.#isConnected = !socket.connecting;
+		socket.once('connect', () => {
+			this.#isConnected = true;
+		});
 		socket.setNoDelay(true);
 		socket.setEncoding('utf8');
 		// The close event follows; without a listener the error would end the process.
@@ -23,6 +28,10 @@
 		return !this.socket.destroyed && this.socket.writable;
 	}
 
+	get isConnected(): boolean {
+		return this.#isConnected;
+	}
+
 	send(message: Sent): void {
 		if (this.isOpen) {
 			this.socket.write(`${JSON.stringify(message)}\n`);
--- a/packages/pooler/test/forward/forward.test.ts
+++ b/packages/pooler/test/forward/forward.test.ts
@@ -9,13 +9,14 @@
 /** Two ends of a link in memory; `mute` drops what the holder sends. */
 class MemoryLink<Sent, Received> implements PeerLink<Sent, Received> {
 	isOpen = true;
+	isConnected = true;
 	isMute = false;
 	peer!: MemoryLink<Received, Sent>;
 	readonly #messages: Array<(message: Received) => void> = [];
 	readonly #closes: Array<() => void> = [];
 
 	send(message: Sent): void {
-		if (this.isOpen && !this.isMute) {
+		if (this.isOpen && this.isConnected && !this.isMute) {
 			this.peer.deliver(structuredClone(message));
 		}
 	}
@@ -50,7 +51,7 @@
 	}
 }
 
-type Holder = {host: FleetHost; service: ForwardService; isHolder: boolean; ran: string[]; links: Array<MemoryLink<ForwardReply, ForwardRequest>>; answer: () => Promise<StatementResult>};
+type Holder = {host: FleetHost; service: ForwardService; isHolder: boolean; isReachable: boolean; ran: string[]; links: Array<MemoryLink<ForwardReply, ForwardRequest>>; answer: () => Promise<StatementResult>};
 
 const done = async (): Promise<StatementResult> => ok({
 	rows: ['row'], signature: 'sig', transaction: 'idle', position: {term: 1, index: 5},
@@ -59,7 +60,7 @@
 
 function createHolder(timers: ManualTimerService, name: string): Holder {
 	const holder: Partial<Holder> & Pick<Holder, 'ran' | 'links'> = {
-		isHolder: true, ran: [], links: [], answer: done, host: {
+		isHolder: true, isReachable: true, ran: [], links: [], answer: done, host: {
 			hostId: name, address: name, failureDomain: name, startedAtMs: 0,
 		},
 	};
@@ -101,6 +102,7 @@
 				const far = new MemoryLink<ForwardReply, ForwardRequest>();
 				near.peer = far;
 				far.peer = near;
+				near.isConnected = holder.isReachable;
 				holder.links.push(far);
 				holder.service.accept(far);
 				return near;
@@ -251,3 +253,13 @@
 	await remote.runSingle(read, false, operation());
 	t.same([holders[0]!.ran, holders[1]!.ran], [['t1/write', 't1/write', 't1/commit'], ['read']]);
 });
+
+// Guards against writes in doubt at every holder that is down: nothing reached it, so another one may run them.
+test('a write to a holder that cannot be reached goes to the next one', async t => {
+	const {remote, operation, holders, timers} = createFleet();
+	holders[0]!.isReachable = false;
+	const written = remote.runSingle(write, true, operation());
+	await timers.advanceAsync(700, 100);
+	t.equal(described(await written), 'sig');
+	t.same([holders[0]!.ran, holders[1]!.ran], [[], ['write']]);
+});
