Refuse forwarded statements that arrive after their sender has given up

A primary_cut also cut the link between front-westlands-2 and the holder front-westlands-17 at 7.99 s. The host gave the link up after 1 s and told its client that nothing is kept. It closed the link in the ordinary way, so the system went on sending what was held up; the holder got the statement at 20.62 s, after the partition, and ran it in the transaction that was still open there.

Ruled out: a holder that begins a new transaction for an old number (the link was the same one); a statement held up between holder and instance (the instance ran it at once when the holder sent it).

What took over 500 ms, or comes from before the holder's clock stood still, is refused unrun and sent once more. A new link first waits for the holder's clock, so a call over a link that never answered has not been sent. - A request says whether it begins its transaction; a holder never begins one for a later statement, and ends transactions whose host cannot be heard any more.

Tests fail without the age check (statement, commit, single).

--- a/packages/ctl/src/commands/explain/domain/explain-request.ts
+++ b/packages/ctl/src/commands/explain/domain/explain-request.ts
@@ -36,6 +36,7 @@
 	'leadership-unproven': 'no replica or store confirmed in time that the primary had not been replaced',
 	'position-unknown': 'too few members answered to know how far a reader must be',
 	'no-reader': 'no member had the position that the read must see, or none answered',
+	'arrived-late': 'the statement took too long on its way to the host that holds the connections, which therefore did not run it',
 	'no-connection': 'all connections that this host may hold were in use for longer than the statement had',
 	'connection-lost': 'the connection to the instance or the holder ended before the answer',
 	'endpoint-silent': 'the instance did not answer within the time of the statement',
--- a/packages/load/src/soak/infra/link-proxy.ts
+++ b/packages/load/src/soak/infra/link-proxy.ts
@@ -1,6 +1,7 @@
 import {
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
+import {abandonSocket} from '@dogwoodthread/pooler';
 
 /** How a link treats the bytes of its connections; `pass` is the healthy state. */
 export type LinkMode = 'pass' | 'delay' | 'silence' | 'cut-to-server' | 'cut-to-client' | 'reset';
@@ -54,14 +55,14 @@
 
 	#resetAll(): void {
 		for (const {client, upstream} of this.#pairs) {
-			reset(client);
-			reset(upstream);
+			abandonSocket(client);
+			abandonSocket(upstream);
 		}
 	}
 
 	#join(client: Socket): void {
 		if (this.#mode === 'reset') {
-			reset(client);
+			abandonSocket(client);
 			return;
 		}
 
@@ -102,15 +103,6 @@
 	}
 }
 
-/** A socket that is already ending cannot be reset; its handle would stay open. */
-function reset(socket: Socket): void {
-	if (socket.writableEnded) {
-		socket.destroy();
-	} else {
-		socket.resetAndDestroy();
-	}
-}
-
 function setHeld(socket: Socket, isHeld: boolean): void {
 	if (isHeld) {
 		socket.pause();
--- a/packages/pooler/src/daemon/pooler.ts
+++ b/packages/pooler/src/daemon/pooler.ts
@@ -66,7 +66,13 @@
 				this.#updateGroups();
 			},
 		});
-		this.#forwards = new ForwardService({timers, events, executorOf: service => this.#executors.get(service)?.local});
+		this.#forwards = new ForwardService({
+			timers,
+			events,
+			clock: this.#clock,
+			transactionIdleMs: () => this.catalog.transactionIdleMs,
+			executorOf: service => this.#executors.get(service)?.local,
+		});
 		this.#announcements = new TermAnnouncements(platform);
 		this.#failover = new FailoverDriver({
 			lease: new DutyLease({
--- a/packages/pooler/src/forward/definitions.ts
+++ b/packages/pooler/src/forward/definitions.ts
@@ -17,28 +17,38 @@
 	committed?: LogPosition;
 };
 
+/** A time on the holder's monotonic clock; times of two epochs cannot be compared. */
+export type ClockReading = {timeMs: number; epoch: number};
+
+/** `sentAt` is the holder's time when the request was sent, as its last replies told it. */
+type Call = {call: number; sentAt: ClockReading; statement: ForwardedStatement};
+/** `isFirst`: the transaction begins with this request. */
+type InTransaction = {transaction: number; isFirst: boolean; begin: {id: string; readOnly: boolean}};
+type Execution = {command: SingleStatement['command']; prepared?: PreparedStatement; isWrite: boolean};
+
 /** Messages from the host that a client is connected to. */
 export type ForwardRequest =
-	| {kind: 'single'; call: number; statement: ForwardedStatement; command: SingleStatement['command']; prepared?: PreparedStatement; isWrite: boolean}
-	| {kind: 'transaction'; call: number; transaction: number; begin: {id: string; readOnly: boolean}; statement: ForwardedStatement; command: SingleStatement['command']; prepared?: PreparedStatement; isWrite: boolean}
-	| {kind: 'commit'; call: number; transaction: number; begin: {id: string; readOnly: boolean}; statement: ForwardedStatement}
+	| ({kind: 'single'} & Call & Execution)
+	| ({kind: 'transaction'} & Call & InTransaction & Execution)
+	| ({kind: 'commit'} & Call & InTransaction)
 	| {kind: 'abort'; transaction: number}
 	| {kind: 'ping'};
 
 /** Messages from the holder. */
 export type ForwardReply =
-	| {kind: 'answer'; call: number; answer?: EndpointAnswer; failure?: StatementFailure}
+	| {kind: 'answer'; clock: ClockReading; call: number; answer?: EndpointAnswer; failure?: StatementFailure}
 	/** The holder stops; it finishes what it has and takes nothing new. */
 	| {kind: 'leaving'}
-	| {kind: 'pong'};
+	/** The first message of a link, and the answer to a ping. */
+	| {kind: 'clock'; clock: ClockReading};
 
 /** A connection between two hosts, with whole messages in order. */
 export type PeerLink<Sent, Received> = {
 	readonly isOpen: boolean;
-	/** Whether the other side was ever reached; until then nothing has been sent. */
-	readonly isConnected: boolean;
 	send(message: Sent): void;
 	close(): void;
+	/** Closes a link that does not answer; what has not arrived yet is dropped. */
+	abandon(): void;
 	onMessage(callback: (message: Received) => void): void;
 	onClose(callback: () => void): void;
 };
--- a/packages/pooler/src/forward/forward-service.ts
+++ b/packages/pooler/src/forward/forward-service.ts
@@ -5,19 +5,33 @@
 	type Executor, type Operation, SessionState, statementFailure, type StatementFailure, type StatementResult, type TransactionHandle,
 } from '../session/index.js';
 import {
-	type ForwardedStatement, type ForwardReply, type ForwardRequest, type PeerLink,
+	type ClockReading, type ForwardedStatement, type ForwardReply, type ForwardRequest, type PeerLink,
 } from './definitions.js';
 
 export type ForwardServiceOptions = {
 	timers: TimerService;
 	events: EventLog;
+	/** Grows when the clock of `timers` has stood still. */
+	clock: {epoch(): number};
+	/** Time that a transaction may rest between two statements, in ms. */
+	transactionIdleMs: () => number;
 	/** Runs statements over this host's own connections. */
 	executorOf: (service: string) => Executor | undefined;
 };
 
-type OpenTransaction = {handle: TransactionHandle; session: SessionState};
+type OpenTransaction = {handle: TransactionHandle; session: SessionState; lastUsedMs: number; isBusy: boolean};
+type StatementRequest = Exclude<ForwardRequest, {kind: 'ping' | 'abort'}>;
 type Link = PeerLink<ForwardReply, ForwardRequest>;
 
+/**
+ * A request that took longer to arrive is refused, in ms. The host that sent it gives the link up after a silence of
+ * 1,000 ms and answers its client; a statement that ran after that would be outside its transaction.
+ */
+const maxTransitMs = 500;
+/** The host of the client ends a transaction that rests; if it cannot tell this host, it ends here this much later, in ms. */
+const idleSlackMs = 2000;
+const idleCheckMs = 500;
+
 /** Runs statements for clients of other hosts. One task for each link; a link that ends rolls back what it had open. */
 export class ForwardService {
 	readonly #links = new Set<Link>();
@@ -27,11 +41,16 @@
 	accept(link: Link): void {
 		const transactions = new Map<number, OpenTransaction>();
 		this.#links.add(link);
+		link.send({kind: 'clock', clock: this.#reading});
+		const idleCheck = this.options.timers.every(idleCheckMs, () => {
+			this.#endResting(transactions);
+		});
 		link.onMessage(request => {
 			void this.#handle(link, request, transactions);
 		});
 		link.onClose(() => {
 			this.#links.delete(link);
+			idleCheck.cancel();
 			for (const {handle} of transactions.values()) {
 				handle.abort();
 			}
@@ -55,7 +74,7 @@
 
 	async #handle(link: Link, request: ForwardRequest, transactions: Map<number, OpenTransaction>): Promise<void> {
 		if (request.kind === 'ping') {
-			link.send({kind: 'pong'});
+			link.send({kind: 'clock', clock: this.#reading});
 			return;
 		}
 
@@ -65,31 +84,61 @@
 			return;
 		}
 
-		const result = await this.#run(request, transactions);
+		const result = this.#isLate(request) ? err(statementFailure('arrived-late')) : await this.#run(request, transactions);
 		if (result.isErr()) {
 			this.#report(request.statement, result.error);
 		}
 
 		link.send(result.match<ForwardReply>(
-			answer => ({kind: 'answer', call: request.call, answer}),
-			failure => ({kind: 'answer', call: request.call, failure}),
+			answer => ({
+				kind: 'answer', clock: this.#reading, call: request.call, answer,
+			}),
+			failure => ({
+				kind: 'answer', clock: this.#reading, call: request.call, failure,
+			}),
 		));
 	}
 
+	get #reading(): ClockReading {
+		const {timers, clock} = this.options;
+		return {timeMs: timers.nowMs(), epoch: clock.epoch()};
+	}
+
+	#isLate({sentAt}: StatementRequest): boolean {
+		const {timeMs, epoch} = this.#reading;
+		return epoch !== sentAt.epoch || timeMs - sentAt.timeMs > maxTransitMs;
+	}
+
+	/** Ends transactions whose host cannot be heard any more. */
+	#endResting(transactions: Map<number, OpenTransaction>): void {
+		const limitMs = this.options.timers.nowMs() - this.options.transactionIdleMs() - idleSlackMs;
+		for (const [number, {handle, lastUsedMs, isBusy}] of transactions) {
+			if (!isBusy && lastUsedMs < limitMs) {
+				transactions.delete(number);
+				handle.abort();
+			}
+		}
+	}
+
 	#report({requestId, service, consistency, leftMs}: ForwardedStatement, {code, reason}: StatementFailure): void {
 		this.options.events.write('forwarded-request-failed', {
 			requestId, service, consistency, code, reason, leftMs: Math.round(leftMs), ...this.options.executorOf(service)?.describe(),
 		});
 	}
 
-	async #run(request: Exclude<ForwardRequest, {kind: 'ping' | 'abort'}>, transactions: Map<number, OpenTransaction>): Promise<StatementResult> {
+	async #run(request: StatementRequest, transactions: Map<number, OpenTransaction>): Promise<StatementResult> {
 		if (request.kind === 'single') {
 			return this.#runSingle(request);
 		}
 
 		const {statement} = request;
 		// A transaction goes on here although this host may no longer hold connections to the service.
-		const open = transactions.get(request.transaction) ?? this.#begin(request);
+		const known = transactions.get(request.transaction);
+		if (!known && !request.isFirst) {
+			return err(statementFailure('transaction-failed'));
+		}
+
+		const open = known ?? this.#begin(request);
 		if (!open) {
 			return err(statementFailure('no-connection'));
 		}
@@ -99,19 +148,26 @@
 			open.session.values.set(name, value);
 		}
 
-		const operation = this.#operation(statement, open.session);
+		const operation = this.#operation(request, open.session);
 		if (request.kind === 'commit') {
 			transactions.delete(request.transaction);
 			return open.handle.commit(operation);
 		}
 
-		return open.handle.run({command: request.command, prepared: request.prepared}, request.isWrite, operation);
+		open.isBusy = true;
+		const result = await open.handle.run({command: request.command, prepared: request.prepared}, request.isWrite, operation);
+		open.isBusy = false;
+		open.lastUsedMs = this.options.timers.nowMs();
+		return result;
 	}
 
-	async #runSingle({statement, command, prepared, isWrite}: Extract<ForwardRequest, {kind: 'single'}>): Promise<StatementResult> {
+	async #runSingle(request: Extract<ForwardRequest, {kind: 'single'}>): Promise<StatementResult> {
+		const {
+			statement, command, prepared, isWrite,
+		} = request;
 		const executor = this.options.executorOf(statement.service);
 		return executor
-			? executor.runSingle({command, prepared}, isWrite, this.#operation(statement, sessionOf(statement)))
+			? executor.runSingle({command, prepared}, isWrite, this.#operation(request, sessionOf(statement)))
 			: err(statementFailure('no-connection'));
 	}
 
@@ -125,16 +181,18 @@
 		const handle = executor.begin({
 			id: begin.id, readOnly: begin.readOnly, session, beganAtMs: this.options.timers.nowMs(),
 		});
-		return {handle, session};
+		return {
+			handle, session, lastUsedMs: this.options.timers.nowMs(), isBusy: false,
+		};
 	}
 
-	#operation(statement: ForwardedStatement, session: SessionState): Operation {
+	#operation({statement, sentAt}: StatementRequest, session: SessionState): Operation {
 		const nowMs = this.options.timers.nowMs();
 		return {
 			id: statement.requestId,
 			session,
 			arrivedAtMs: nowMs,
-			deadlineMs: nowMs + statement.leftMs,
+			deadlineMs: sentAt.timeMs + statement.leftMs,
 			attempts: 0,
 			route: {
 				database: '',
--- a/packages/pooler/src/forward/remote-executor.ts
+++ b/packages/pooler/src/forward/remote-executor.ts
@@ -97,7 +97,7 @@
 }
 
 /** Whether the holder could not run the statement while another one may. */
-const isRefusal = (result: StatementResult): boolean => result.isErr() && result.error.reason === 'no-connection';
+const isRefusal = (result: StatementResult): boolean => result.isErr() && (result.error.reason === 'no-connection' || result.error.reason === 'arrived-late');
 
 function noteWrite(result: StatementResult, isWrite: boolean, {session}: Operation): StatementResult {
 	return result.map(answer => {
@@ -141,7 +141,14 @@
 			this.#hasWritten ||= isWrite;
 
 			const call = link.call({
-				kind: 'transaction', transaction: this.transaction, begin: this.#begin, statement: this.executor.forwarded(operation), command: statement.command, prepared: statement.prepared, isWrite,
+				kind: 'transaction',
+				transaction: this.transaction,
+				isFirst,
+				begin: this.#begin,
+				statement: this.executor.forwarded(operation),
+				command: statement.command,
+				prepared: statement.prepared,
+				isWrite,
 			}, this.#generation);
 			this.#generation ??= link.generation;
 			const called = await call;
@@ -159,6 +166,7 @@
 	}
 
 	async commit(operation: Operation): Promise<StatementResult> {
+		const isFirst = this.#link === undefined;
 		const link = this.#link ?? this.executor.chooseLink(new Set());
 		this.#state = 'ended';
 		if (!link) {
@@ -166,7 +174,7 @@
 		}
 
 		const called = await link.call({
-			kind: 'commit', transaction: this.transaction, begin: this.#begin, statement: this.executor.forwarded(operation),
+			kind: 'commit', transaction: this.transaction, isFirst, begin: this.#begin, statement: this.executor.forwarded(operation),
 		}, this.#generation);
 		if (called.kind === 'not-sent') {
 			return err({...statementFailure('transaction-failed'), reason: 'connection-lost'});
--- a/packages/pooler/src/forward/tcp-peer-link.ts
+++ b/packages/pooler/src/forward/tcp-peer-link.ts
@@ -4,6 +4,7 @@
 import {
 	type ForwardReply, type ForwardRequest, type PeerConnector, type PeerLink,
 } from './definitions.js';
+import {abandonSocket} from './abandon-socket.js';
 
 /** Longest line in characters: a message of 1 MiB, escaped. */
 const maxLineLength = 8_388_608;
@@ -11,13 +12,8 @@
 /** JSON lines over one TCP connection. Strings keep the bytes of the wire as Latin-1 characters. */
 class TcpPeerLink<Sent, Received> implements PeerLink<Sent, Received> {
 	#rest = '';
-	#isConnected = false;
 
 	constructor(private readonly socket: Socket) {
-		this.#isConnected = !socket.connecting;
-		socket.once('connect', () => {
-			this.#isConnected = true;
-		});
 		socket.setNoDelay(true);
 		socket.setEncoding('utf8');
 		// The close event follows; without a listener the error would end the process.
@@ -28,10 +24,6 @@
 		return !this.socket.destroyed && this.socket.writable;
 	}
 
-	get isConnected(): boolean {
-		return this.#isConnected;
-	}
-
 	send(message: Sent): void {
 		if (this.isOpen) {
 			this.socket.write(`${JSON.stringify(message)}\n`);
@@ -42,6 +34,10 @@
 		this.socket.destroy();
 	}
 
+	abandon(): void {
+		abandonSocket(this.socket);
+	}
+
 	onMessage(callback: (message: Received) => void): void {
 		this.socket.on('data', (text: unknown) => {
 			const lines = (this.#rest + (text as string)).split('\n');
--- a/packages/pooler/src/session/errors.ts
+++ b/packages/pooler/src/session/errors.ts
@@ -13,7 +13,7 @@
 export type FailureReason =
 	| 'unknown-database' | 'unknown-service' | 'malformed' | 'unknown-statement' | 'transaction-failed' | 'no-transaction'
 	| 'leader-unknown' | 'leader-stalled' | 'leadership-unproven' | 'position-unknown' | 'no-reader' | 'no-connection' | 'connection-lost'
-	| 'endpoint-silent' | 'endpoint-error' | 'idle-in-transaction' | 'shutting-down';
+	| 'arrived-late' | 'endpoint-silent' | 'endpoint-error' | 'idle-in-transaction' | 'shutting-down';
 
 const catalogue: Record<FailureReason, {code: ErrorCode; text: string}> = {
 	'unknown-database': {code: 'unknown-database', text: 'no database of this name is configured; check the name'},
@@ -28,6 +28,7 @@
 	'position-unknown': {code: 'busy', text: 'the state of the log is not known at present; retry after 300 ms'},
 	'no-reader': {code: 'busy', text: 'no instance can serve the read at present; retry after 200 ms'},
 	'no-connection': {code: 'busy', text: 'all connections are in use; retry after 100 ms'},
+	'arrived-late': {code: 'busy', text: 'the statement took too long on its way to the host that runs it; retry after 100 ms'},
 	'connection-lost': {code: 'in-doubt', text: 'the connection to the instance ended before its answer; read back before repeating'},
 	'endpoint-silent': {code: 'timeout', text: 'the instance did not answer in time; read back before repeating'},
 	'endpoint-error': {code: 'failed', text: 'the instance refused the statement'},
--- a/packages/pooler/test/forward/forward.test.ts
+++ b/packages/pooler/test/forward/forward.test.ts
@@ -2,25 +2,43 @@
 import {ok} from 'neverthrow';
 import {test} from 'tap';
 import {
-	type Executor, type FleetHost, type ForwardReply, type ForwardRequest, ForwardService, HolderLink, type Operation, type PeerLink, RemoteExecutor, SessionState, statementFailure, type StatementResult,
+	type Executor, type FleetHost, type ForwardReply, type ForwardRequest, ForwardService, HolderLink, type Operation, type PeerLink, RemoteExecutor,
+	SessionState, statementFailure, type StatementResult,
 } from '../../src/index.js';
 import {MemoryEventLog} from '../fixtures/fake-endpoints.js';
 
-/** Two ends of a link in memory; `mute` drops what the holder sends. */
+/** Two ends of a link in memory; `isMute` drops what it sends, `isHeld` keeps it back until `release`. */
 class MemoryLink<Sent, Received> implements PeerLink<Sent, Received> {
 	isOpen = true;
-	isConnected = true;
 	isMute = false;
+	isHeld = false;
 	peer!: MemoryLink<Received, Sent>;
 	readonly #messages: Array<(message: Received) => void> = [];
 	readonly #closes: Array<() => void> = [];
+	readonly #held: Sent[] = [];
+	/** Messages that arrived before anybody listened. */
+	readonly #early: Received[] = [];
 
 	send(message: Sent): void {
-		if (this.isOpen && this.isConnected && !this.isMute) {
+		if (this.isHeld) {
+			this.#held.push(structuredClone(message));
+		} else if (this.isOpen && !this.isMute) {
 			this.peer.deliver(structuredClone(message));
 		}
 	}
 
+	/** Delivers what was kept back, although the link may be closed by now. */
+	release(): void {
+		this.isHeld = false;
+		for (const message of this.#held.splice(0)) {
+			this.peer.deliver(message);
+		}
+	}
+
+	abandon(): void {
+		this.shut();
+	}
+
 	close(): void {
 		for (const end of [this, this.peer]) {
 			end.shut();
@@ -29,6 +47,9 @@
 
 	onMessage(callback: (message: Received) => void): void {
 		this.#messages.push(callback);
+		for (const message of this.#early.splice(0)) {
+			callback(message);
+		}
 	}
 
 	onClose(callback: () => void): void {
@@ -36,6 +57,10 @@
 	}
 
 	deliver(message: Received): void {
+		if (this.#messages.length === 0) {
+			this.#early.push(message);
+		}
+
 		for (const callback of this.#messages) {
 			callback(message);
 		}
@@ -51,7 +76,16 @@
 	}
 }
 
-type Holder = {host: FleetHost; service: ForwardService; isHolder: boolean; isReachable: boolean; ran: string[]; links: Array<MemoryLink<ForwardReply, ForwardRequest>>; answer: () => Promise<StatementResult>};
+type Holder = {
+	host: FleetHost;
+	service: ForwardService;
+	isHolder: boolean;
+	isReachable: boolean;
+	ran: string[];
+	links: Array<MemoryLink<ForwardReply, ForwardRequest>>;
+	epoch: number;
+	answer: () => Promise<StatementResult>;
+};
 
 const done = async (): Promise<StatementResult> => ok({
 	rows: ['row'], signature: 'sig', transaction: 'idle', position: {term: 1, index: 5},
@@ -60,7 +94,7 @@
 
 function createHolder(timers: ManualTimerService, name: string): Holder {
 	const holder: Partial<Holder> & Pick<Holder, 'ran' | 'links'> = {
-		isHolder: true, isReachable: true, ran: [], links: [], answer: done, host: {
+		isHolder: true, isReachable: true, ran: [], links: [], epoch: 0, answer: done, host: {
 			hostId: name, address: name, failureDomain: name, startedAtMs: 0,
 		},
 	};
@@ -86,7 +120,9 @@
 		}),
 		describe: () => ({}),
 	};
-	holder.service = new ForwardService({timers, events: new MemoryEventLog(), executorOf: () => holder.isHolder ? executor : undefined});
+	holder.service = new ForwardService({
+		timers, events: new MemoryEventLog(), clock: {epoch: () => holder.epoch!}, transactionIdleMs: () => 3000, executorOf: () => holder.isHolder ? executor : undefined,
+	});
 	return holder as Holder;
 }
 
@@ -102,9 +138,11 @@
 				const far = new MemoryLink<ForwardReply, ForwardRequest>();
 				near.peer = far;
 				far.peer = near;
-				near.isConnected = holder.isReachable;
 				holder.links.push(far);
-				holder.service.accept(far);
+				if (holder.isReachable) {
+					holder.service.accept(far);
+				}
+
 				return near;
 			},
 		},
@@ -240,6 +278,56 @@
 	});
 }
 
+// Guards against a statement that runs after its client has been answered: a partition kept it back for 12 s, and the
+// holder ran it in a transaction that its client had ended (kiambu-nets-grown, day trouble-3: PINNED).
+for (const kind of ['statement', 'commit', 'single'] as const) {
+	test(`what a partition kept back does not run any more: ${kind}`, async t => {
+		const {remote, operation, holders, session, timers} = createFleet();
+		const transaction = remote.begin({
+			id: 't1', readOnly: false, session, beganAtMs: 0,
+		});
+		await transaction.run(write, true, operation());
+		const [far] = holders[0]!.links;
+		far!.peer.isHeld = true;
+		const send = {
+			statement: async () => transaction.run(write, true, operation()),
+			commit: async () => transaction.commit(operation()),
+			single: async () => remote.runSingle(write, true, operation()),
+		}[kind];
+		const answered = send();
+		await timers.advanceAsync(1500, 100);
+		t.equal(described(await answered), kind === 'statement' ? 'aborted' : 'in-doubt');
+		far!.peer.release();
+		t.same(holders[0]!.ran, ['t1/write']);
+	});
+}
+
+// Guards against statements that a holder finds when it wakes after its clock stood still.
+test('a holder that was suspended runs no statement from before', async t => {
+	const {remote, operation, holders} = createFleet();
+	await remote.runSingle(read, false, operation());
+	const [far] = holders[0]!.links;
+	far!.peer.isHeld = true;
+	const answered = remote.runSingle(read, false, operation());
+	holders[0]!.epoch += 1;
+	far!.peer.release();
+	t.equal(described(await answered), 'sig', 'it is sent again with the new time');
+	t.same(holders[0]!.ran, ['read', 'read']);
+});
+
+// Guards against transactions that hold a connection and locks for a host that cannot be heard any more.
+test('a holder ends a transaction that rests for too long, and begins none in its place', async t => {
+	const {remote, operation, holders, session, timers} = createFleet();
+	const transaction = remote.begin({
+		id: 't1', readOnly: false, session, beganAtMs: 0,
+	});
+	await transaction.run(write, true, operation());
+	await timers.advanceAsync(6000, 100);
+	t.same(holders[0]!.ran, ['t1/write', 't1/abort']);
+	t.equal(described(await transaction.run(write, true, operation())), 'aborted');
+	t.same(holders[0]!.ran, ['t1/write', 't1/abort']);
+});
+
 // Guards against transactions that fail because the fleet grew and their holder holds no connections any more.
 test('a holder that loses its role finishes the transactions that it has', async t => {
 	const {remote, operation, holders, session} = createFleet();
