Move the stages of a stop and the watch waits into the pooler; split the group; count lost log lines

- platform/src/bin/shut-down.ts decided when a stop closes what; it is packages/pooler/src/daemon/shut-down.ts now, against a port of the client listener, with a test of its stages in virtual time.
The waits of the watches follow from the bounds in packages/pooler/src/catalog/watch-wait.ts. platform/ translates only.
No behaviour changed; the group's tests are unchanged.
- Log lines that a slow reader does not take are counted and reported.
Cause: they were dropped silently by the stream.
Test: 20,000 lines into a pipe that is not read; every line is read whole later or is in the count.

Ruled out for the log: a blocking write (the slowest line took 4 ms in that test).

--- a/packages/pooler/src/catalog/index.ts
+++ b/packages/pooler/src/catalog/index.ts
@@ -3,3 +3,4 @@
 export type {
 	CatalogListener, CatalogSource, Configuration, Consistency, Endpoint, Route, ServiceLimits,
 } from './definitions.js';
+export {watchWaitMs} from './watch-wait.js';
--- a/packages/pooler/src/group/group.ts
+++ b/packages/pooler/src/group/group.ts
@@ -4,7 +4,10 @@
 import {type Endpoint, type ServiceLimits} from '../catalog/index.js';
 import {type EventLog} from '../observability/index.js';
 import {type ContinuityClock} from './continuity-clock.js';
+import {DepartedFloor} from './departed-floor.js';
+import {LeadershipProof} from './leadership-proof.js';
 import {type Member} from './member.js';
+import {isPollDue} from './poll-schedule.js';
 import {PositionBounds} from './position-bounds.js';
 
 export type GroupOptions = {
@@ -24,18 +27,8 @@
 
 /** Interval at which a group looks whether a member must be asked for its status, in ms. */
 const checkIntervalMs = 100;
-/** A primary that answered nothing for this long is asked, in ms. Every status request is charged. */
-const quietLeaderMs = 1000;
-/** The same for a replica. */
-const quietReplicaMs = 2500;
-/** Interval between status requests while there is doubt about the primary, in ms. */
-const urgentStatusIntervalMs = 200;
-/** Interval between status requests to a replica that does not answer, in ms. */
-const failingReplicaIntervalMs = 500;
 /** Requests that wait for a bound or a proof ask a member no more often than this, in ms. */
 const onDemandIntervalMs = 50;
-/** A write without an answer for this long is a reason for doubt, in ms. */
-const slowWriteMs = 500;
 /** Writes unconfirmed for this long mean that the primary cannot reach its replicas, in ms. */
 const stallMs = 700;
 /** A member that answers nothing for this long is not counted on, in ms. */
@@ -44,16 +37,6 @@
 const boundRenewalMs = 250;
 /** Longest time for a status answer, in ms; it may queue behind statements. */
 const statusTimeoutMs = 800;
-/**
- * How long a replica's word that it is not fenced counts, in ms. A promoter that cannot make the old primary
- * step down waits for this long after fencing, so that no host still trusts that primary when the next one
- * starts.
- */
-export const leadershipEvidenceMs = 500;
-/** Time after which another replica is asked for a proof, in ms. */
-const proofTimeoutMs = 150;
-/** Interval between attempts to read the floor at the store, in ms; a departure is noted there within 100 ms. */
-const floorIntervalMs = 1000;
 /** An entry that is missing for this long belongs to an endpoint that is gone, in ms. */
 const missingRetentionMs = 5000;
 
@@ -64,21 +47,25 @@
 	#leader: Member | undefined;
 	#leaderTerm = 0;
 	#leaderlessSinceMs: number | undefined;
-	/** When a replica that turned out not to be fenced was asked, in ms. */
-	#unfencedAskedAtMs = Number.NEGATIVE_INFINITY;
-	#unfencedEpoch = -1;
 	readonly #bounds: PositionBounds;
 	readonly #waiters = new Set<() => void>();
 	readonly #checks: TimerSubscription;
-	#proof: Promise<void> | undefined;
-	/** What members that are gone may have acknowledged; undefined while that is not known. */
-	#floor: LogPosition | undefined;
-	#floorAskedAtMs = Number.NEGATIVE_INFINITY;
+	readonly #proof: LeadershipProof;
+	readonly #floor: DepartedFloor;
 	#closed = false;
 
 	constructor(private readonly options: GroupOptions) {
 		this.#limits = options.limits;
 		this.#bounds = new PositionBounds(options.timers, options.clock);
+		this.#proof = new LeadershipProof({
+			timers: options.timers,
+			clock: options.clock,
+			leaderTerm: () => this.#leaderTerm,
+			nextReplica: excluded => this.#leastLoadedReplica(excluded),
+			poll: async member => this.poll(member),
+			announcedTerm: options.announcedTerm,
+		});
+		this.#floor = new DepartedFloor({timers: options.timers, read: options.departedFloor});
 		this.#leaderlessSinceMs = options.timers.nowMs();
 		this.#checks = options.timers.every(checkIntervalMs, () => {
 			this.#check();
@@ -176,16 +163,13 @@
 
 	/** Whether no promotion can have taken effect before `atMs`, as far as replicas said. */
 	isLeadershipProven(atMs: number): boolean {
-		return this.members.size <= 1
-			|| (this.#unfencedEpoch === this.options.clock.epoch() && atMs - this.#unfencedAskedAtMs <= leadershipEvidenceMs);
+		return this.members.size <= 1 || this.#proof.holdsAt(atMs);
 	}
 
 	/** Waits for a proof that no promotion took effect before `atMs`; all who wait share the requests for it. */
 	async proveLeadership(atMs: number, deadlineMs: number): Promise<boolean> {
 		while (!this.isLeadershipProven(atMs) && this.options.timers.nowMs() < deadlineMs && this.#leader) {
-			this.#proof ??= this.#askForProof();
-
-			await this.#proof;
+			await this.#proof.renew();
 		}
 
 		return this.isLeadershipProven(atMs);
@@ -200,7 +184,7 @@
 			return;
 		}
 
-		this.#noteUnfenced(sentAtMs);
+		this.#proof.noteUnfenced(sentAtMs);
 		this.#bounds.add(sentAtMs, position);
 	}
 
@@ -257,43 +241,6 @@
 		this.#wake();
 	}
 
-	/** Asks one replica after the other, then the store. Takes a while also if all answer at once. */
-	async #askForProof(): Promise<void> {
-		const {timers} = this.options;
-		const startedMs = timers.nowMs();
-		const tried = new Set<Member>();
-		let replica = this.#leastLoadedReplica(tried);
-		while (replica && !this.isLeadershipProven(startedMs)) {
-			tried.add(replica);
-
-			await Promise.race([this.poll(replica), timers.sleep(proofTimeoutMs)]);
-			replica = this.#leastLoadedReplica(tried);
-		}
-
-		if (!this.isLeadershipProven(startedMs)) {
-			await this.#readAnnouncement();
-		}
-
-		if (!this.isLeadershipProven(startedMs)) {
-			await timers.sleep(onDemandIntervalMs);
-		}
-
-		this.#proof = undefined;
-	}
-
-	/**
-	 * When no replica answers: a promoter announces its term at the store before it fences anyone, so the primary
-	 * leads as long as none is announced.
-	 */
-	async #readAnnouncement(): Promise<void> {
-		const askedAtMs = this.options.timers.nowMs();
-		const epoch = this.options.clock.epoch();
-		const term = await this.options.announcedTerm();
-		if (term !== undefined && term <= this.#leaderTerm && epoch === this.options.clock.epoch()) {
-			this.#noteUnfenced(askedAtMs);
-		}
-	}
-
 	#pollOnce(member: Member): void {
 		if (!member.isPolling && this.options.timers.nowMs() - member.lastPollAtMs >= onDemandIntervalMs) {
 			void this.poll(member);
@@ -304,7 +251,7 @@
 	#proveForBound(deadlineMs: number): void {
 		const nowMs = this.options.timers.nowMs();
 		const inReach = [...this.members.values()].filter(member => member.failingForMs(nowMs) === 0).length;
-		if (inReach < this.#answersForBound && this.#leader && !this.#proof) {
+		if (inReach < this.#answersForBound && this.#leader && !this.#proof.isUnderWay) {
 			void this.proveLeadership(nowMs, deadlineMs);
 		}
 	}
@@ -332,24 +279,13 @@
 			.toSorted((a, b) => a.pool.inUse - b.pool.inUse)[0];
 	}
 
-	/** Whether something speaks against the primary, so that all members are asked often. */
-	#isInDoubt(nowMs: number): boolean {
-		const leader = this.#leader;
-		return !leader || leader.failingForMs(nowMs) > 0 || leader.stalledForMs(nowMs) > slowWriteMs;
-	}
-
 	#check(): void {
 		const nowMs = this.options.timers.nowMs();
-		if (!this.#floor && nowMs - this.#floorAskedAtMs > floorIntervalMs) {
-			this.#floorAskedAtMs = nowMs;
-			void this.#loadFloor();
-		}
-
-		const isInDoubt = this.#isInDoubt(nowMs);
+		void this.#floor.readIfUnknown();
 		for (const member of this.members.values()) {
 			if (member.missingSinceMs !== undefined && nowMs - member.missingSinceMs > missingRetentionMs) {
 				this.#remove(member, 'entry-missing');
-			} else if (this.#isPollDue(member, isInDoubt, nowMs)) {
+			} else if (isPollDue(member, this.#leader, nowMs)) {
 				this.#pollOnce(member);
 			}
 
@@ -357,20 +293,6 @@
 		}
 	}
 
-	#isPollDue(member: Member, isInDoubt: boolean, nowMs: number): boolean {
-		const sincePollMs = nowMs - member.lastPollAtMs;
-		if (isInDoubt) {
-			return sincePollMs >= urgentStatusIntervalMs;
-		}
-
-		if (member.failingForMs(nowMs) > 0) {
-			return sincePollMs >= failingReplicaIntervalMs;
-		}
-
-		const quietMs = nowMs - Math.max(member.lastAnswerAtMs, member.lastPollAtMs);
-		return quietMs > (member === this.#leader ? quietLeaderMs : quietReplicaMs);
-	}
-
 	#learn(member: Member): void {
 		const status = member.status!;
 		if (status.role === 'primary' && status.term >= this.#leaderTerm) {
@@ -381,7 +303,7 @@
 		}
 
 		if (member !== this.#leader && status.role === 'replica' && status.fencedTerm <= this.#leaderTerm && status.term <= this.#leaderTerm) {
-			this.#noteUnfenced(member.statusAskedAtMs);
+			this.#proof.noteUnfenced(member.statusAskedAtMs);
 		}
 
 		if (member === this.#leader && status.role === 'primary' && this.isLeadershipProven(member.statusAskedAtMs)) {
@@ -406,19 +328,15 @@
 		const asked = answered.slice(0, this.#answersForBound);
 		const hasLeader = this.#leader !== undefined && asked.includes(this.#leader);
 		// A replica that is gone may have been the only one to acknowledge a commit of the primary.
-		if (!hasLeader && !this.#floor) {
+		const floor = this.#floor.position;
+		if (!hasLeader && !floor) {
 			return;
 		}
 
-		const position = highestOf([...asked.map(({status}) => status!.received), ...(this.#floor ? [this.#floor] : [])]);
+		const position = highestOf([...asked.map(({status}) => status!.received), ...(floor ? [floor] : [])]);
 		this.#bounds.add(asked.at(-1)!.statusAskedAtMs, position);
 	}
 
-	#noteUnfenced(askedAtMs: number): void {
-		this.#unfencedAskedAtMs = Math.max(this.#unfencedAskedAtMs, askedAtMs);
-		this.#unfencedEpoch = this.options.clock.epoch();
-	}
-
 	#setLeader(leader: Member | undefined, source: string): void {
 		if (leader === this.#leader) {
 			return;
@@ -471,20 +389,15 @@
 		}
 	}
 
-	async #loadFloor(): Promise<void> {
-		const floor = await this.options.departedFloor();
-		this.#floor ??= floor;
-	}
-
 	/** The primary's position after a member is gone bounds all that the member acknowledged. */
 	async #noteDeparture(member: Member): Promise<void> {
-		const known = highestOf([this.#bounds.latest ?? zeroPosition, this.#floor ?? zeroPosition]);
-		this.#floor = undefined;
+		const known = highestOf([this.#bounds.latest ?? zeroPosition, this.#floor.position ?? zeroPosition]);
+		this.#floor.forget();
 		const status = await this.#leader?.control({kind: 'status'}, statusTimeoutMs);
 		const isKnown = status?.role === 'primary';
 		this.options.onDeparture(`${member.id}@${member.endpoint.bornAtMs}`, isKnown ? status.received : known);
 		if (isKnown) {
-			this.#floor = status.received;
+			this.#floor.set(status.received);
 		}
 	}
 
--- a/packages/pooler/src/observability/definitions.ts
+++ b/packages/pooler/src/observability/definitions.ts
@@ -9,6 +9,7 @@
 	'process-stopping',
 	'process-stopped',
 	'settings-reloaded',
+	'log-lines-dropped',
 	'dependency-lost',
 	'dependency-restored',
 	'configuration-applied',
