Remove the import circles of the proxy and of the document scenario

The directory imported the peer folder for two questions that it asks other proxies; it declares them as a port of its own now (OwnershipQueries), which peer's client implements. The phases of the document scenario imported the scenario for the type of the run; that type has a file of its own. No behaviour changed.

--- a/packages/load/src/scenario/scenarios/document-phases.ts
+++ b/packages/load/src/scenario/scenarios/document-phases.ts
@@ -1,7 +1,7 @@
 import {type SectionName, sectionNames} from '@dogwoodthread/coordination';
 import {type ProxyHandle} from '../../deployment/index.js';
 import {type EditRecord} from '../../governing/index.js';
-import {type DocumentRun} from './document.js';
+import {type DocumentRun} from './document-run.js';
 
 type Phase = (run: DocumentRun) => Promise<void>;
 
--- a/packages/load/src/scenario/scenarios/document.ts
+++ b/packages/load/src/scenario/scenarios/document.ts
@@ -9,23 +9,13 @@
 import {SeededRandom} from '../../workload/index.js';
 import {type Scenario, type ScenarioContext} from '../definitions.js';
 import {documentPhases} from './document-phases.js';
+import {type DocumentRun} from './document-run.js';
 
 const platformTimeoutMs = 1000;
 
 /** More than any run makes. */
 const maxHistory = 10_000;
 
-/** What the phases of the scenario share. */
-export type DocumentRun = {
-	context: ScenarioContext;
-	editors: Editors;
-	observer: VersionObserver;
-	random: SeededRandom;
-	outages: Period[];
-	pauses: Array<Period & {hostId: string}>;
-	violations: string[];
-};
-
 const inForceFigures = (times: readonly InForceTime[]): Record<string, unknown> => {
 	const undisturbed = times.filter(({afterOutageMs}) => afterOutageMs === undefined).map(({inForceMs}) => inForceMs ?? Infinity);
 	const phases = [...new Set(times.map(({edit}) => edit.phase))];
--- a/packages/proxy/src/directory/core/holder-check.ts
+++ b/packages/proxy/src/directory/core/holder-check.ts
@@ -1,5 +1,5 @@
 import {isSeatLive, type MembershipView, type TimerService} from '@dogwoodthread/coordination';
-import {type PeerQueries} from '../../peer/index.js';
+import {type OwnershipQueries} from '../definitions.js';
 import {type DatabaseDirectory} from './database-directory.js';
 
 /** How long a holder that did not answer is passed over; the failure detector has decided by then. */
@@ -17,7 +17,7 @@
 	readonly #askedAtMs = new Map<string, number>();
 
 	constructor(private readonly options: {
-		directory: DatabaseDirectory; membership: MembershipView; peers: PeerQueries; timers: TimerService;
+		directory: DatabaseDirectory; membership: MembershipView; peers: OwnershipQueries; timers: TimerService;
 	}) {}
 
 	isUnresponsive(hostId: string): boolean {
--- a/packages/proxy/src/directory/core/ownership-keeper.ts
+++ b/packages/proxy/src/directory/core/ownership-keeper.ts
@@ -1,8 +1,7 @@
 import {
 	isSeatLive, type OwnershipRecord, seatCount, type TimerSubscription,
 } from '@dogwoodthread/coordination';
-import {type PeerQueries} from '../../peer/index.js';
-import {type DirectoryOptions} from '../definitions.js';
+import {type DirectoryOptions, type OwnershipQueries} from '../definitions.js';
 import {type DatabaseDirectory} from './database-directory.js';
 
 const checkIntervalMs = 500;
@@ -23,7 +22,7 @@
 	#subscription: TimerSubscription | undefined;
 
 	constructor(
-		private readonly options: DirectoryOptions & {peers: PeerQueries; actingDatabases: () => string[]},
+		private readonly options: DirectoryOptions & {peers: OwnershipQueries; actingDatabases: () => string[]},
 		private readonly directory: DatabaseDirectory,
 	) {}
 
--- a/packages/proxy/src/directory/definitions.ts
+++ b/packages/proxy/src/directory/definitions.ts
@@ -3,7 +3,6 @@
 	type VersionedOwnership,
 } from '@dogwoodthread/coordination';
 import {type Logger} from 'pino';
-import {type PeerQueries} from '../peer/index.js';
 
 /** What a proxy knows of a database. */
 export type DatabaseEntry = {
@@ -12,12 +11,24 @@
 	group: GroupRecord;
 };
 
+/** What another proxy knows of a database. */
+export type PeerOwnership = {
+	ownership: VersionedOwnership | undefined;
+	group: GroupRecord | undefined;
+};
+
+/** Questions about owners to other proxies; undefined means no answer. */
+export type OwnershipQueries = {
+	getOwnership(peerAddress: string, database: string): Promise<PeerOwnership | undefined>;
+	announceOwnership(peerAddress: string, ownership: VersionedOwnership, group: GroupRecord | undefined): Promise<void>;
+};
+
 export type DirectoryError = TypedError<'unknown-database' | 'no-acting-owner'>;
 
 export type DirectoryOptions = {
 	platform: Platform;
 	membership: MembershipView;
-	peers: PeerQueries;
+	peers: OwnershipQueries;
 	assignOwners: AssignOwners;
 	timers: TimerService;
 	logger: Logger;
--- a/packages/proxy/src/peer/core/ownership-messages.ts
+++ b/packages/proxy/src/peer/core/ownership-messages.ts
@@ -3,7 +3,7 @@
 	type GroupRecord, type OwnerSeat, parseGroupRecord, type VersionedOwnership,
 } from '@dogwoodthread/coordination';
 import {type GetOwnershipResponse, GetOwnershipResponseSchema, type OwnerRank} from '@dogwoodthread/protocol';
-import {type PeerOwnership} from '../definitions.js';
+import {type PeerOwnership} from '../../directory/index.js';
 
 const toSeat = ({rank, generation, hostId, startedUnixMs, peerAddress, failureDomain}: OwnerRank): OwnerSeat => ({
 	rank, generation: Number(generation), hostId, startedUnixMs: Number(startedUnixMs), peerAddress, failureDomain,
--- a/packages/proxy/src/peer/core/peer-clients.ts
+++ b/packages/proxy/src/peer/core/peer-clients.ts
@@ -4,9 +4,10 @@
 import {
 	type ExecuteRequest, PeerService, type TransactRequest, type TransactResponse,
 } from '@dogwoodthread/protocol';
+import {type PeerOwnership} from '../../directory/index.js';
 import {GuardedSessionManager} from '../../http2/index.js';
 import {
-	type ForwardResult, type PeerLinks, type PeerOwnership, type PeerQueries,
+	type ForwardResult, type PeerLinks, type PeerQueries,
 } from '../definitions.js';
 import {ForwardLink} from './forward-link.js';
 import {fromOwnershipMessage, toOwnershipMessage} from './ownership-messages.js';
--- a/packages/proxy/src/peer/definitions.ts
+++ b/packages/proxy/src/peer/definitions.ts
@@ -1,7 +1,7 @@
-import {type GroupRecord, type VersionedOwnership} from '@dogwoodthread/coordination';
 import {
 	type ExecuteRequest, type ExecuteResponse, type TransactRequest, type TransactResponse,
 } from '@dogwoodthread/protocol';
+import {type OwnershipQueries} from '../directory/index.js';
 
 /**
  * - `answered`: the owner's outcome.
@@ -21,16 +21,8 @@
 	transact(peerAddress: string, steps: AsyncIterable<TransactRequest>): AsyncIterable<TransactResponse>;
 };
 
-/** What a peer knows of a database. */
-export type PeerOwnership = {
-	ownership: VersionedOwnership | undefined;
-	group: GroupRecord | undefined;
-};
-
 /** Single questions to other proxies; undefined means no answer. */
-export type PeerQueries = {
-	getOwnership(peerAddress: string, database: string): Promise<PeerOwnership | undefined>;
-	announceOwnership(peerAddress: string, ownership: VersionedOwnership, group: GroupRecord | undefined): Promise<void>;
+export type PeerQueries = OwnershipQueries & {
 	getDocument(peerAddress: string, knownVersion: number): Promise<{version: number; content: string | undefined} | undefined>;
 	observeEndpoint(peerAddress: string, question: {database: string; memberId: string; address: string; timeoutMs: number}): Promise<boolean | undefined>;
 };
--- a/packages/proxy/src/peer/index.ts
+++ b/packages/proxy/src/peer/index.ts
@@ -1,6 +1,6 @@
 /** Communication between proxies. */
 export type {
-	ForwardResult, PeerLinks, PeerOwnership, PeerQueries,
+	ForwardResult, PeerLinks, PeerQueries,
 } from './definitions.js';
 export {PeerClients} from './core/peer-clients.js';
 export {
