Explain requests that no line named, and those that were slow

It failed where the process was killed with the request (no line), where the client left before the answer, where another statement of the same transaction had failed, and it said only 'served' where a statement took seconds. Refusals without an executor (failed or expired transactions) had no line.

Ruled out without a trial: a line for every served request, 32 times as many.

--- /dev/null
+++ b/packages/ctl/src/commands/explain/domain/explain-absence.ts
@@ -0,0 +1,61 @@
+import {type LogLine} from './log-lines.js';
+
+/** What may have kept a request out of the logs. */
+export type Absence = {
+	kind: 'ended-abruptly' | 'suspended' | 'lines-lost' | 'cut-off';
+	hostId: string;
+	/** Time of day at the host, Unix time in ms. */
+	fromMs: number;
+	untilMs: number | undefined;
+	text: string;
+};
+
+const clock = (ms: number): string => new Date(ms).toISOString();
+
+/**
+ * A request that no line names was served and not sampled, or its host could not log it: its process ended without a
+ * stop, was suspended, was cut off, or its lines were suppressed. Lists the latter cases, by time.
+ */
+export function findAbsences(lines: readonly LogLine[], span: {fromMs: number; toMs: number}): Absence[] {
+	return [...abruptEnds(lines), ...lines.flatMap(line => absenceOf(line))]
+		.filter(({fromMs, untilMs}) => fromMs <= span.toMs && (untilMs ?? fromMs) >= span.fromMs)
+		.toSorted((a, b) => a.fromMs - b.fromMs);
+}
+
+/** Lives of a host that a later one follows although the log has no orderly end. */
+function abruptEnds(lines: readonly LogLine[]): Absence[] {
+	const starts = lines.filter(({event}) => event === 'process-started');
+	return starts.flatMap(start => {
+		const before = lines.filter(({hostId, incarnation, time}) => hostId === start.hostId && incarnation !== start.incarnation && time <= start.time);
+		const last = before.toSorted((a, b) => a.time - b.time).at(-1);
+		const hasStopped = before.some(({event, incarnation}) => event === 'process-stopped' && incarnation === last?.incarnation);
+		return last && !hasStopped
+			? [{
+				kind: 'ended-abruptly' as const, hostId: start.hostId, fromMs: last.time, untilMs: start.time,
+				text: `${start.hostId} ended without a stop after ${clock(last.time)} and was back at ${clock(start.time)}: what it was running then has no line.`,
+			}]
+			: [];
+	});
+}
+
+function absenceOf(line: LogLine): Absence[] {
+	const {event, hostId, time} = line;
+	if (event === 'clock-discontinuity') {
+		const jumpMs = Number(line.jumpMs);
+		return [{
+			kind: 'suspended', hostId, fromMs: time - Math.abs(jumpMs), untilMs: time, text: `${hostId} was suspended, or its time of day stepped, by ${jumpMs} ms until ${clock(time)}.`,
+		}];
+	}
+
+	if (event === 'lines-suppressed' || event === 'log-lines-dropped') {
+		return [{
+			kind: 'lines-lost', hostId, fromMs: time - 1000, untilMs: time, text: `${hostId} left out ${String(line.count)} lines (${typeof line.of === 'string' ? line.of : 'any event'}) until ${clock(time)}.`,
+		}];
+	}
+
+	return event === 'dependency-lost'
+		? [{
+			kind: 'cut-off', hostId, fromMs: time, untilMs: undefined, text: `${hostId} lost ${String(line.dependency)} at ${clock(time)} (${String(line.reason)}); its clients may not have reached it either.`,
+		}]
+		: [];
+}
--- a/packages/ctl/src/commands/explain/domain/explain-request.ts
+++ b/packages/ctl/src/commands/explain/domain/explain-request.ts
@@ -44,12 +44,16 @@
 	'transaction-failed': 'an earlier statement of the transaction had failed',
 	'idle-in-transaction': 'the client rested in the transaction for longer than the configuration allows',
 	'shutting-down': 'the host was stopping',
+	'no-transaction': 'the client sent COMMIT or ROLLBACK without a transaction',
+	'unknown-service': 'the configuration names a service without limits or instances',
+	'unknown-statement': 'the session has no prepared statement of that name',
+	malformed: 'the statement was not valid at that point',
 	'unknown-database': 'the configuration in force had no route for the database',
 };
 
 /** Joins the lines of all hosts on one request; undefined if none names it. */
 export function explainRequest(all: readonly LogLine[], requestId: string): Explanation | undefined {
-	const own = all.filter(line => line.requestId === requestId);
+	const own = all.filter(line => line.requestId === requestId || isOfSameTransaction(line, requestId));
 	if (own.length === 0) {
 		return undefined;
 	}
@@ -57,10 +61,18 @@
 	const context = all.filter(line => beliefEvents.has(line.event) && own.some(request => mayHaveDecided(line, request)));
 	const lines = [...own, ...context].toSorted((a, b) => isSameLife(a, b) ? a.monotonicMs - b.monotonicMs : a.time - b.time);
 	// A holder's own line is closer to the cause than that of the host which forwarded the request to it.
-	const decisive = own.find(({event}) => event === 'forwarded-request-failed') ?? own.find(({reason}) => reason !== undefined) ?? own[0]!;
+	const decisive = own.find(({event}) => event === 'forwarded-request-failed')
+		?? own.find(({reason, event}) => reason !== undefined && event !== 'request-retried')
+		?? own.find(({event}) => event === 'client-left')
+		?? own.find(({event}) => event === 'request-served')
+		?? own[0]!;
 	return {requestId, cause: causeOf(decisive, context), lines};
 }
 
+/** A failed statement names the others of its transaction. */
+const isOfSameTransaction = ({transactionIds}: LogLine, requestId: string): boolean =>
+	typeof transactionIds === 'string' && transactionIds.split(' ').includes(requestId);
+
 const isSameLife = (a: LogLine, b: LogLine): boolean => a.hostId === b.hostId && a.incarnation === b.incarnation;
 
 /** Compares times of one process only, since the clocks of hosts differ and may step. */
@@ -72,12 +84,25 @@
 
 function causeOf(line: LogLine, context: readonly LogLine[]): string {
 	const {reason} = line;
+	if (line.event === 'client-left') {
+		return `The client closed its connection to ${line.hostId} ${String(line.waitedMs)} ms after it had sent the statement, before there was an answer.${latestChange(line, context)}`;
+	}
+
 	if (typeof reason !== 'string') {
-		return `Served at ${line.hostId} after ${String(line.totalMs)} ms.`;
+		return `Served at ${line.hostId} after ${String(line.totalMs)} ms${stagesOf(line)}.${latestChange(line, context)}`;
 	}
 
 	const detail = typeof line.detail === 'string' ? ` (${line.detail})` : '';
+	return `Ended with ${String(line.code)} at ${line.hostId}: ${causes[reason] ?? reason}${detail}.${latestChange(line, context)}`;
+}
+
+function latestChange(line: LogLine, context: readonly LogLine[]): string {
 	const latest = context.filter(belief => isSameLife(belief, line)).toSorted((a, b) => a.monotonicMs - b.monotonicMs).at(-1);
-	const before = latest ? ` Latest change of belief there: ${latest.event} ${Math.round(line.monotonicMs - latest.monotonicMs)} ms earlier.` : '';
-	return `Ended with ${String(line.code)} at ${line.hostId}: ${causes[reason] ?? reason}${detail}.${before}`;
+	return latest ? ` Latest change of belief there: ${latest.event} ${Math.round(line.monotonicMs - latest.monotonicMs)} ms earlier.` : '';
+}
+
+/** Where the time of a served statement went; the rest was spent at the instance or at the holder. */
+function stagesOf({positionMs = 0, connectionMs = 0, totalMs}: LogLine): string {
+	const restMs = Number(totalMs) - Number(positionMs) - Number(connectionMs);
+	return ` (${String(positionMs)} ms for the position to read at, ${String(connectionMs)} ms for a connection, ${restMs} ms at the instance or on the way)`;
 }
--- a/packages/ctl/test/explain/explain.test.ts
+++ b/packages/ctl/test/explain/explain.test.ts
@@ -31,6 +31,20 @@
 	}),
 	// The same host after a restart: its steady time started again.
 	line('front-a', 6050, 'endpoint-unreachable', {service: 'ledger', endpointId: 'i-2', incarnation: 'later'}),
+	line('front-a', 6300, 'request-refused', {
+		requestId: 'q4', database: 'holds', code: 'aborted', reason: 'endpoint-silent', transactionIds: 'q3 q4',
+	}),
+	line('front-b', 6400, 'client-left', {requestId: 'q5', database: 'holds', waitedMs: 1500}),
+	line('front-b', 6500, 'request-served', {
+		requestId: 'q6', totalMs: 900, positionMs: 0, connectionMs: 650,
+	}),
+	line('front-d', 100, 'process-started', {incarnation: 'first'}),
+	line('front-d', 4000, 'host-appeared', {incarnation: 'first'}),
+	line('front-d', 60, 'process-started', {incarnation: 'second'}, 1_700_000_009_000),
+	line('front-e', 3500, 'process-stopped', {incarnation: 'first'}),
+	line('front-e', 60, 'process-started', {incarnation: 'second'}, 1_700_000_009_500),
+	line('front-e', 2000, 'lines-suppressed', {of: 'request-refused', count: 12, incarnation: 'first'}),
+	line('front-e', 3000, 'clock-discontinuity', {jumpMs: 2500, incarnation: 'first'}),
 	'{"level":30,"time":17000',
 	'',
 ].join('\n');
@@ -42,7 +56,13 @@
 	t.matchSnapshot([
 		await runCtl('explain', 'q1', file),
 		await runCtl('explain', 'q2', file, '--json'),
+		await runCtl('explain', 'q3', file),
+		await runCtl('explain', 'q5', file),
+		await runCtl('explain', 'q6', file),
 		await runCtl('explain', 'q9', file),
+		await runCtl('explain', 'q9', file, '--from', '2023-11-14T22:13:28Z'),
+		await runCtl('explain', '--database', 'holds', file),
+		await runCtl('explain', 'q1', file, '--from', 'yesterday'),
 		await runCtl('explain'),
 	]);
 });
--- a/packages/pooler/src/forward/forward-service.ts
+++ b/packages/pooler/src/forward/forward-service.ts
@@ -2,7 +2,7 @@
 import {err} from 'neverthrow';
 import {type EventLog} from '../observability/index.js';
 import {
-	type Executor, type Operation, SessionState, statementFailure, type StatementFailure, type StatementResult, type TransactionHandle,
+	type Executor, newProgress, type Operation, SessionState, statementFailure, type StatementFailure, type StatementResult, type TransactionHandle,
 } from '../session/index.js';
 import {
 	type ClockReading, type ForwardedStatement, type ForwardReply, type ForwardRequest, type PeerLink,
@@ -193,7 +193,7 @@
 			session,
 			arrivedAtMs: nowMs,
 			deadlineMs: sentAt.timeMs + statement.leftMs,
-			attempts: 0,
+			progress: newProgress(),
 			route: {
 				database: '',
 				service: statement.service,
--- a/packages/pooler/src/forward/remote-executor.ts
+++ b/packages/pooler/src/forward/remote-executor.ts
@@ -52,7 +52,7 @@
 				return last;
 			}
 
-			operation.attempts += 1;
+			operation.progress.attempts += 1;
 		}
 
 		return last;
@@ -161,7 +161,7 @@
 			link.abort(this.transaction);
 			this.#link = undefined;
 			this.#generation = undefined;
-			operation.attempts += 1;
+			operation.progress.attempts += 1;
 		}
 	}
 
--- a/packages/pooler/src/observability/definitions.ts
+++ b/packages/pooler/src/observability/definitions.ts
@@ -30,6 +30,7 @@
 	'request-failed',
 	'request-retried',
 	'session-refused',
+	'client-left',
 	'promotion-started',
 	'promotion-step',
 	'promotion-finished',
--- a/packages/pooler/src/session/index.ts
+++ b/packages/pooler/src/session/index.ts
@@ -6,7 +6,7 @@
 	BeginRequest, Executor, StatementResult, TransactionHandle,
 } from './executor.js';
 export {LocalExecutor, type LocalExecutorContext} from './local-executor.js';
-export type {Operation} from './operation.js';
+export {newProgress, type Operation, type OperationProgress} from './operation.js';
 export type {SingleStatement} from './single-statement.js';
 export {Session, type SessionContext} from './session.js';
 export {SessionState, type PreparedStatement} from './session-state.js';
--- a/packages/pooler/src/session/local-executor.ts
+++ b/packages/pooler/src/session/local-executor.ts
@@ -18,9 +18,7 @@
 
 	async runSingle(statement: SingleStatement, isWrite: boolean, request: Operation): Promise<StatementResult> {
 		const operation = {...request, group: this.group};
-		const result = await this.#run(statement, isWrite, operation);
-		request.attempts = operation.attempts;
-		return result;
+		return this.#run(statement, isWrite, operation);
 	}
 
 	begin({id, readOnly, session, beganAtMs}: BeginRequest): TransactionHandle {
--- a/packages/pooler/src/session/operation.ts
+++ b/packages/pooler/src/session/operation.ts
@@ -26,10 +26,21 @@
 	session: SessionState;
 	arrivedAtMs: number;
 	deadlineMs: number;
-	/** Attempts that ended without running, for the log. */
+	progress: OperationProgress;
+};
+
+/** What became of a statement so far, for the log. Copies of an operation share it. */
+export type OperationProgress = {
+	/** Attempts that ended without running. */
 	attempts: number;
+	/** Time spent until it was known how far a reader must be, in ms. */
+	positionMs: number;
+	/** Time spent waiting for connections, in ms. */
+	connectionMs: number;
 };
 
+export const newProgress = (): OperationProgress => ({attempts: 0, positionMs: 0, connectionMs: 0});
+
 /** A statement that runs over this host's own connections. */
 export type LocalOperation = Operation & {group: Group};
 
@@ -42,9 +53,14 @@
 const drainingPrimaryGraceMs = 4000;
 
 /** Position that a read must see, by the route's consistency; `undefined` if none is known in time. */
-export async function requiredPosition({route, group, session, arrivedAtMs, deadlineMs}: LocalOperation): Promise<LogPosition | undefined> {
+export async function requiredPosition(operation: LocalOperation, timers: TimerService): Promise<LogPosition | undefined> {
+	const {
+		route, group, session, arrivedAtMs, deadlineMs, progress,
+	} = operation;
+	const startedMs = timers.nowMs();
 	const sinceMs = arrivedAtMs - Math.max(0, route.maxStalenessMs - stalenessMarginMs);
 	const bound = await group.awaitBoundSince(sinceMs, deadlineMs);
+	progress.positionMs += timers.nowMs() - startedMs;
 	if (!bound) {
 		return undefined;
 	}
@@ -92,7 +108,9 @@
 export async function acquireFrom(member: Member, operation: LocalOperation, context: OperationContext): Promise<Result<HeldConnection, StatementFailure>> {
 	const startedMs = context.timers.nowMs();
 	const acquired = await member.pool.acquire({priority: operation.route.priority, deadlineMs: operation.deadlineMs});
-	context.metrics.stage(operation.route.consistency, 'waiting', context.timers.nowMs() - startedMs);
+	const waitedMs = context.timers.nowMs() - startedMs;
+	operation.progress.connectionMs += waitedMs;
+	context.metrics.stage(operation.route.consistency, 'waiting', waitedMs);
 	return acquired
 		.map(connection => ({member, connection}))
 		.mapErr(({kind}) => {
--- a/packages/pooler/src/session/run-bounded-read.ts
+++ b/packages/pooler/src/session/run-bounded-read.ts
@@ -26,7 +26,7 @@
 	operation: LocalOperation,
 	context: OperationContext & {hedges: RetryBudget},
 ): Promise<SingleResult> {
-	const after = await requiredPosition(operation);
+	const after = await requiredPosition(operation, context.timers);
 	if (!after) {
 		return err(statementFailure('position-unknown'));
 	}
@@ -44,7 +44,7 @@
 		}
 
 		last = attempt.failure;
-		operation.attempts += 1;
+		operation.progress.attempts += 1;
 		if (last.reason === 'no-reader' && isOutOfReach(operation.group, context.timers.nowMs())) {
 			break;
 		}
--- a/packages/pooler/src/session/session.ts
+++ b/packages/pooler/src/session/session.ts
@@ -2,7 +2,7 @@
 import {isSampled} from '../observability/index.js';
 import {type ClientAnswer, type ClientStatement, type TransactionState} from '../statement/index.js';
 import {statementFailure, type StatementFailure} from './errors.js';
-import {type Operation, type OperationContext} from './operation.js';
+import {newProgress, type Operation, type OperationContext} from './operation.js';
 import {type Executor, type StatementResult, type TransactionHandle} from './executor.js';
 import {type SingleStatement} from './single-statement.js';
 import {SessionState} from './session-state.js';
@@ -27,6 +27,8 @@
 	#transactionExecutor: Executor | undefined;
 	#expired: 'idle-in-transaction' | 'shutting-down' | undefined;
 	#isBusy = false;
+	/** Ids of the statements of the last transaction; empty after a single statement. */
+	#transactionIds: readonly string[] = [];
 
 	constructor(readonly database: string, private readonly context: SessionContext) {}
 
@@ -71,24 +73,24 @@
 				this.#endTransaction();
 			}
 
-			return this.#failed(statementFailure(expired));
+			return this.#reject(statement, statementFailure(expired));
 		}
 
 		if (this.transactionState === 'failed' && statement.kind !== 'rollback' && statement.kind !== 'commit') {
-			return this.#failed(statementFailure('malformed'), 'the transaction has failed; roll it back first');
+			return this.#reject(statement, statementFailure('malformed'), 'the transaction has failed; roll it back first');
 		}
 
 		switch (statement.kind) {
 			case 'begin': {
-				return this.#begin(statement.id, statement.readOnly);
+				return this.#begin(statement);
 			}
 
 			case 'commit': {
-				return this.#commit(statement.id);
+				return this.#commit(statement);
 			}
 
 			case 'rollback': {
-				return this.#rollback();
+				return this.#rollback(statement);
 			}
 
 			case 'read':
@@ -113,55 +115,56 @@
 			}
 
 			case 'malformed': {
-				return this.#failed(statementFailure('malformed'), statement.reason);
+				return this.#reject(statement, statementFailure('malformed'), statement.reason);
 			}
 		}
 	}
 
-	#begin(id: string, readOnly: boolean): ClientAnswer {
+	#begin(statement: Extract<ClientStatement, {kind: 'begin'}>): ClientAnswer {
 		if (this.#transaction) {
-			return this.#failed(statementFailure('malformed'), 'a transaction is open already');
+			return this.#reject(statement, statementFailure('malformed'), 'a transaction is open already');
 		}
 
 		const route = this.context.catalog.route(this.database);
 		if (!route) {
-			return this.#failed(statementFailure('unknown-database'));
+			return this.#reject(statement, statementFailure('unknown-database'));
 		}
 
 		const executor = this.context.executorOf(route.service);
 		if (!executor) {
-			return this.#failed(statementFailure('unknown-service'));
+			return this.#reject(statement, statementFailure('unknown-service'));
 		}
 
 		this.#transactionRoute = route;
 		this.#transactionExecutor = executor;
 		this.#transaction = executor.begin({
-			id, readOnly, session: this.#state, beganAtMs: this.context.timers.nowMs(),
+			id: statement.id, readOnly: statement.readOnly, session: this.#state, beganAtMs: this.context.timers.nowMs(),
 		});
+		this.#transactionIds = [statement.id];
 		return this.#done();
 	}
 
-	async #commit(id: string): Promise<ClientAnswer> {
+	async #commit(statement: Extract<ClientStatement, {kind: 'commit'}>): Promise<ClientAnswer> {
 		const transaction = this.#transaction;
 		if (!transaction) {
-			return this.#failed(statementFailure('no-transaction'));
+			return this.#reject(statement, statementFailure('no-transaction'));
 		}
 
 		if (transaction.state === 'failed') {
 			this.#endTransaction();
-			return this.#failed(statementFailure('transaction-failed'));
+			return this.#reject(statement, statementFailure('transaction-failed'));
 		}
 
 		const executor = this.#transactionExecutor!;
-		const operation = this.#operation(id, this.#transactionRoute!);
+		const operation = this.#operation(statement.id, this.#transactionRoute!);
 		const result = await transaction.commit(operation);
 		this.#endTransaction();
 		return this.#answer(operation, result, 'commit', executor);
 	}
 
-	#rollback(): ClientAnswer {
+	#rollback(statement: Extract<ClientStatement, {kind: 'rollback'}>): ClientAnswer {
 		if (!this.#transaction) {
-			return this.#failed(statementFailure('no-transaction'));
+			return this.#reject(statement, statementFailure('no-transaction'));
 		}
 
 		this.#endTransaction();
@@ -171,21 +174,21 @@
 	async #execute(statement: Executable): Promise<ClientAnswer> {
 		const prepared = statement.kind === 'execute' ? this.#state.prepared.get(statement.name) : undefined;
 		if (statement.kind === 'execute' && !prepared) {
-			return this.#failed(statementFailure('unknown-statement'));
+			return this.#reject(statement, statementFailure('unknown-statement'));
 		}
 
 		const route = this.#transactionRoute ?? this.context.catalog.route(this.database);
 		if (!route) {
-			return this.#failed(statementFailure('unknown-database'));
+			return this.#reject(statement, statementFailure('unknown-database'));
 		}
 
 		const executor = this.#transactionExecutor ?? this.context.executorOf(route.service);
 		if (!executor) {
-			return this.#failed(statementFailure('unknown-service'));
+			return this.#reject(statement, statementFailure('unknown-service'));
 		}
 
+		this.#transactionIds = this.#transaction ? [...this.#transactionIds, statement.id] : [];
 		const operation = this.#operation(statement.id, route);
-
 		const single: SingleStatement = {
 			prepared,
 			command: statement.kind === 'execute'
@@ -204,7 +207,7 @@
 	#operation(id: string, route: Route): Operation {
 		const nowMs = this.context.timers.nowMs();
 		return {
-			id, route, session: this.#state, arrivedAtMs: nowMs, deadlineMs: nowMs + route.statementTimeoutMs, attempts: 0,
+			id, route, session: this.#state, arrivedAtMs: nowMs, deadlineMs: nowMs + route.statementTimeoutMs, progress: newProgress(),
 		};
 	}
 
@@ -230,7 +233,9 @@
 
 	#report(operation: Operation, result: StatementResult, statementKind: string, executor: Executor): void {
 		const {timers, events, metrics, catalog} = this.context;
-		const {route, id, arrivedAtMs, attempts} = operation;
+		const {
+			route, id, arrivedAtMs, progress,
+		} = operation;
 		const totalMs = timers.nowMs() - arrivedAtMs;
 		const code = result.isOk() ? 'served' : result.error.code;
 		metrics.request(route.consistency, code, totalMs);
@@ -249,13 +254,30 @@
 			reason: result.isErr() ? result.error.reason : undefined,
 			detail: result.isErr() && result.error.fromEndpoint ? result.error.text : undefined,
 			totalMs: Math.round(totalMs),
-			attempts,
-			inTransaction: this.#transaction !== undefined,
+			attempts: progress.attempts,
+			positionMs: Math.round(progress.positionMs),
+			connectionMs: Math.round(progress.connectionMs),
+			transactionIds: result.isErr() && this.#transactionIds.length > 0 ? this.#transactionIds.join(' ') : undefined,
 			configurationVersion: catalog.version,
 			...executor.describe(),
 		});
 	}
 
+	/** Refuses a statement that was not passed on to an executor. */
+	#reject(statement: ClientStatement, failure: StatementFailure, detail = failure.text): ClientAnswer {
+		this.context.events.write('request-refused', {
+			requestId: statement.id,
+			database: this.database,
+			statementKind: statement.kind,
+			code: failure.code,
+			reason: failure.reason,
+			detail,
+			transactionIds: this.#transaction && this.#transactionIds.join(' '),
+			configurationVersion: this.context.catalog.version,
+		});
+		return this.#failed(failure, detail);
+	}
+
 	#done(): ClientAnswer {
 		return {rows: [], outcome: {kind: 'done', signature: noSignature}, transaction: this.transactionState};
 	}
--- a/packages/pooler/src/session/single-statement.ts
+++ b/packages/pooler/src/session/single-statement.ts
@@ -39,7 +39,7 @@
 			break;
 		}
 
-		operation.attempts += 1;
+		operation.progress.attempts += 1;
 		await context.timers.sleep(busyPauseMs);
 	}
 
--- a/packages/pooler/src/session/transaction.ts
+++ b/packages/pooler/src/session/transaction.ts
@@ -142,7 +142,7 @@
 				return this.#fail(endpointFailure(error));
 			}
 
-			operation.attempts += 1;
+			operation.progress.attempts += 1;
 
 			await context.timers.sleep(busyPauseMs);
 		}
@@ -164,7 +164,7 @@
 	/** Tries until a member has begun the transaction; nothing of it has run before that. */
 	async #begin(operation: LocalOperation): Promise<Result<HeldConnection, StatementFailure>> {
 		const isBounded = operation.route.consistency !== 'primary';
-		const after = isBounded ? await requiredPosition(operation) : undefined;
+		const after = isBounded ? await requiredPosition(operation, this.options.context.timers) : undefined;
 		if (isBounded && !after) {
 			return err(statementFailure('position-unknown'));
 		}
@@ -197,7 +197,7 @@
 				excluded.add(acquired.value.member.id);
 			}
 
-			operation.attempts += 1;
+			operation.progress.attempts += 1;
 
 			await context.timers.sleep(busyPauseMs);
 		}
--- a/packages/pooler/test/forward/forward.test.ts
+++ b/packages/pooler/test/forward/forward.test.ts
@@ -2,7 +2,7 @@
 import {ok} from 'neverthrow';
 import {test} from 'tap';
 import {
-	type Executor, type FleetHost, type ForwardReply, type ForwardRequest, ForwardService, HolderLink, type Operation, type PeerLink, RemoteExecutor,
+	type Executor, type FleetHost, type ForwardReply, type ForwardRequest, ForwardService, HolderLink, type Operation, type PeerLink, newProgress, RemoteExecutor,
 	SessionState, statementFailure, type StatementResult,
 } from '../../src/index.js';
 import {MemoryEventLog} from '../fixtures/fake-endpoints.js';
@@ -157,7 +157,7 @@
 		service, timers, random: () => 0, failureDomain: 'a', holders: () => holders.map(({host}) => host), linkTo: ({hostId}) => links.get(hostId)!,
 	});
 	const operation = (): Operation => ({
-		id: 'q', session, arrivedAtMs: timers.nowMs(), deadlineMs: timers.nowMs() + 3000, attempts: 0,
+		id: 'q', session, arrivedAtMs: timers.nowMs(), deadlineMs: timers.nowMs() + 3000, progress: newProgress(),
 		route: {
 			database: 'd', service: 'ledger', consistency: 'primary', statementTimeoutMs: 3000, latencyObjectiveMs: 200, priority: 1, maxStalenessMs: 0,
 		},
--- a/tap-snapshots/packages/ctl/test/explain/explain.test.ts.test.cjs
+++ b/tap-snapshots/packages/ctl/test/explain/explain.test.ts.test.cjs
@@ -28,9 +28,60 @@
       
     ),
   },
+  Object {
+    "code": 0,
+    "output": String(
+      TIME front-a +6300 ms request-refused requestId=q4 database=holds code=aborted reason=endpoint-silent transactionIds=q3 q4
+      Ended with aborted at front-a: the instance did not answer within the time of the statement.
+      
+    ),
+  },
+  Object {
+    "code": 0,
+    "output": String(
+      TIME front-b +6400 ms client-left requestId=q5 database=holds waitedMs=1500
+      The client closed its connection to front-b 1500 ms after it had sent the statement, before there was an answer.
+      
+    ),
+  },
+  Object {
+    "code": 0,
+    "output": String(
+      TIME front-b +6500 ms request-served requestId=q6 totalMs=900 positionMs=0 connectionMs=650
+      Served at front-b after 900 ms (0 ms for the position to read at, 650 ms for a connection, 250 ms at the instance or on the way).
+      
+    ),
+  },
   Object {
     "code": 1,
-    "output": "No line names q9 in 7 lines (1 damaged). Served requests are sampled; give the logs of all hosts.\\n",
+    "output": String(
+      No line names q9 in 17 lines (1 damaged). Of the served requests one in 32 has a line; give the logs of all hosts. It was served, or one of these kept it out:
+        front-e was suspended, or its time of day stepped, by 2500 ms until TIME.
+        front-e left out 12 lines (request-refused) until TIME.
+        front-d ended without a stop after TIME and was back at TIME: what it was running then has no line.
+      
+    ),
+  },
+  Object {
+    "code": 1,
+    "output": String(
+      No line names q9 in 17 lines (1 damaged). Of the served requests one in 32 has a line; give the logs of all hosts. It was served, or one of these kept it out:
+        front-d ended without a stop after TIME and was back at TIME: what it was running then has no line.
+      
+    ),
+  },
+  Object {
+    "code": 0,
+    "output": String(
+      TIME q4: Ended with aborted at front-a: the instance did not answer within the time of the statement.
+      TIME q5: The client closed its connection to front-b 1500 ms after it had sent the statement, before there was an answer.
+      2 failed requests of holds in 17 lines (1 damaged).
+      
+    ),
+  },
+  Object {
+    "code": 2,
+    "output": "",
   },
   Object {
     "code": 2,
