--- a/packages/ctl/src/commands/explain/domain/explain-absence.ts
+++ b/packages/ctl/src/commands/explain/domain/explain-absence.ts
@@ -10,6 +10,9 @@
 	text: string;
 };
 
+/** A daemon with clients writes a line more often than this, in ms. */
+const silentMs = 10_000;
+
 const clock = (ms: number): string => new Date(ms).toISOString();
 
 /**
@@ -17,7 +20,7 @@
  * stop, was suspended, was cut off, or its lines were suppressed. Lists the latter cases, by time.
  */
 export function findAbsences(lines: readonly LogLine[], span: {fromMs: number; toMs: number}): Absence[] {
-	return [...abruptEnds(lines), ...lines.flatMap(line => absenceOf(line))]
+	return [...abruptEnds(lines), ...lastEnds(lines), ...lines.flatMap(line => absenceOf(line))]
 		.filter(({fromMs, untilMs}) => fromMs <= span.toMs && (untilMs ?? fromMs) >= span.fromMs)
 		.toSorted((a, b) => a.fromMs - b.fromMs);
 }
@@ -38,18 +41,34 @@
 	});
 }
 
+/** Hosts whose lines end long before those of the others: lost for good, or their log is not complete. */
+function lastEnds(lines: readonly LogLine[]): Absence[] {
+	const newestMs = lines.toSorted((a, b) => a.time - b.time).at(-1)?.time ?? 0;
+	return [...new Set(lines.map(({hostId}) => hostId))].flatMap(hostId => {
+		const last = lines.filter(line => line.hostId === hostId).toSorted((a, b) => a.time - b.time).at(-1)!;
+		return last.event !== 'process-stopped' && newestMs - last.time > silentMs
+			? [{
+				kind: 'ended-abruptly' as const, hostId, fromMs: last.time, untilMs: newestMs,
+				text: `${hostId} has no line after ${clock(last.time)}, without a stop: it was lost, or its log is not complete.`,
+			}]
+			: [];
+	});
+}
+
 function absenceOf(line: LogLine): Absence[] {
 	const {event, hostId, time} = line;
 	if (event === 'clock-discontinuity') {
 		const jumpMs = Number(line.jumpMs);
 		return [{
-			kind: 'suspended', hostId, fromMs: time - Math.abs(jumpMs), untilMs: time, text: `${hostId} was suspended, or its time of day stepped, by ${jumpMs} ms until ${clock(time)}.`,
+			kind: 'suspended', hostId, fromMs: time - Math.abs(jumpMs), untilMs: time,
+			text: `${hostId} was suspended, or its time of day stepped, by ${jumpMs} ms until ${clock(time)}.`,
 		}];
 	}
 
 	if (event === 'lines-suppressed' || event === 'log-lines-dropped') {
 		return [{
-			kind: 'lines-lost', hostId, fromMs: time - 1000, untilMs: time, text: `${hostId} left out ${String(line.count)} lines (${typeof line.of === 'string' ? line.of : 'any event'}) until ${clock(time)}.`,
+			kind: 'lines-lost', hostId, fromMs: time - 1000, untilMs: time,
+			text: `${hostId} left out ${String(line.count)} lines (${typeof line.of === 'string' ? line.of : 'any event'}) until ${clock(time)}.`,
 		}];
 	}
 
--- a/packages/ctl/test/explain/explain.test.ts
+++ b/packages/ctl/test/explain/explain.test.ts
@@ -45,6 +45,7 @@
 	line('front-e', 60, 'process-started', {incarnation: 'second'}, 1_700_000_009_500),
 	line('front-e', 2000, 'lines-suppressed', {of: 'request-refused', count: 12, incarnation: 'first'}),
 	line('front-e', 3000, 'clock-discontinuity', {jumpMs: 2500, incarnation: 'first'}),
+	line('front-f', 1000, 'request-served', {requestId: 'q7', totalMs: 5}, 1_699_999_980_000),
 	'{"level":30,"time":17000',
 	'',
 ].join('\n');
--- a/tap-snapshots/packages/ctl/test/explain/explain.test.ts.test.cjs
+++ b/tap-snapshots/packages/ctl/test/explain/explain.test.ts.test.cjs
@@ -55,7 +55,8 @@
   Object {
     "code": 1,
     "output": String(
-      No line names q9 in 17 lines (1 damaged). Of the served requests one in 32 has a line; give the logs of all hosts. It was served, or one of these kept it out:
+      No line names q9 in 18 lines (1 damaged). Of the served requests one in 32 has a line; give the logs of all hosts. It was served, or one of these kept it out:
+        front-f has no line after TIME, without a stop: it was lost, or its log is not complete.
         front-e was suspended, or its time of day stepped, by 2500 ms until TIME.
         front-e left out 12 lines (request-refused) until TIME.
         front-d ended without a stop after TIME and was back at TIME: what it was running then has no line.
@@ -65,7 +66,8 @@
   Object {
     "code": 1,
     "output": String(
-      No line names q9 in 17 lines (1 damaged). Of the served requests one in 32 has a line; give the logs of all hosts. It was served, or one of these kept it out:
+      No line names q9 in 18 lines (1 damaged). Of the served requests one in 32 has a line; give the logs of all hosts. It was served, or one of these kept it out:
+        front-f has no line after TIME, without a stop: it was lost, or its log is not complete.
         front-d ended without a stop after TIME and was back at TIME: what it was running then has no line.
       
     ),
@@ -75,7 +77,7 @@
     "output": String(
       TIME q4: Ended with aborted at front-a: the instance did not answer within the time of the statement.
       TIME q5: The client closed its connection to front-b 1500 ms after it had sent the statement, before there was an answer.
-      2 failed requests of holds in 17 lines (1 damaged).
+      2 failed requests of holds in 18 lines (1 damaged).
       
     ),
   },
