Keep the users' names of the soak's settings and configuration in platform/

The soak wrote the settings file, the configuration and the instances' entries with the names of the users' pages in packages/load; these are functions of the stand-ins now.

--- a/packages/load/src/soak/core/soak-fleet.ts
+++ b/packages/load/src/soak/core/soak-fleet.ts
@@ -1,8 +1,9 @@
 import {writeFile} from 'node:fs/promises';
 import {createServer} from 'node:net';
 import path from 'node:path';
-import {type ControlRecord, type RunRecord, StoreStandin} from '@dogwoodthread/platform/standin';
-import {stringify} from 'yaml';
+import {
+	type ControlRecord, putConfiguration, type RunRecord, settingsText, StoreStandin,
+} from '@dogwoodthread/platform/standin';
 import {type SoakDatabase} from '../definitions.js';
 import {bounds} from '../domain/history-checks.js';
 import {LinkProxy} from '../infra/link-proxy.js';
@@ -32,9 +33,9 @@
 	{consistency: 'bounded-staleness', maxStalenessMs: 1500},
 	{consistency: 'read-your-writes', maxStalenessMs: 2500},
 ] as const;
-const routeTypes = {primary: 'primary', 'bounded-staleness': 'bounded_staleness', 'read-your-writes': 'read_your_writes'} as const;
 const transactionIdleMs = 3000;
 const statementTimeoutMs = 2000;
+const latencyObjectiveMs = 400;
 const readyPollMs = 50;
 /** Below the ports of outgoing connections, which could take the port of a process that is down. */
 const portRange = {first: 10_000, count: 22_000};
@@ -135,21 +136,13 @@
 				name, service: services[0]!, consistency: 'primary' as const, maxStalenessMs: 0,
 			})),
 		];
-		this.store.put('config', 'main', {
-			config_version: this.#version,
+		putConfiguration(this.store, {
+			version: this.#version,
+			transactionIdleMs,
 			routes: databases.map(({name, service, consistency, maxStalenessMs}) => ({
-				name: `route-${name}`,
-				database: name,
-				path_prefix: '/',
-				type: routeTypes[consistency],
-				timeout_ms: statementTimeoutMs,
-				target_latency_ms: 400,
-				priority: 1,
-				service,
-				max_staleness_ms: maxStalenessMs,
+				database: name, service, consistency, maxStalenessMs, statementTimeoutMs, latencyObjectiveMs, priority: 1,
 			})),
-			services: services.map(name => ({name, max_conns: this.options.maxConnections, sync_replicas: 1})),
-			limits: {tx_idle_ms: transactionIdleMs},
+			services: services.map(service => ({service, maxConnections: this.options.maxConnections, syncReplicas: 1})),
 		});
 	}
 
@@ -166,20 +159,11 @@
 	async #startHost(index: number): Promise<SoakHost> {
 		const [clients, readinessPort, peers, metrics] = [await this.#takePort(), await this.#takePort(), await this.#takePort(), await this.#takePort()];
 		const storeLink = await LinkProxy.start(this.store.port);
-		const store = `127.0.0.1:${storeLink.port}`;
 		const settingsPath = path.join(this.options.folder, `host-${index}.yaml`);
-		await writeFile(settingsPath, stringify({
-			node: `host-${index}`,
-			ip: '127.0.0.1',
-			zone: index % 2 === 0 ? 'a' : 'b',
-			listen: {front: `127.0.0.1:${clients}`, readiness: `127.0.0.1:${readinessPort}`},
-			internal_ports: [peers, metrics],
-			bounds: {
-				grace_s: bounds.graceMs / 1000, drain_ms: bounds.drainMs, config_apply_ms: bounds.configurationMs, stable_ms: bounds.stableMs,
-			},
-			platform: {address: store},
-			cloud_api: {address: store},
-		}));
+		const ports = {
+			clients, readiness: readinessPort, peers, metrics, store: storeLink.port,
+		};
+		await writeFile(settingsPath, settingsText(`host-${index}`, index % 2 === 0 ? 'a' : 'b', ports, bounds));
 		return {
 			index,
 			process: new PoolerProcess({settingsPath, logPath: path.join(this.options.folder, `host-${index}.log`)}),
--- a/packages/load/src/soak/core/soak-group.ts
+++ b/packages/load/src/soak/core/soak-group.ts
@@ -1,5 +1,5 @@
 import {
-	type ControlRecord, GroupStandin, InstanceStandin, type RunRecord, type StoreStandin,
+	type ControlRecord, GroupStandin, InstanceStandin, putEndpoint, removeEndpoint, type RunRecord, type StoreStandin,
 } from '@dogwoodthread/platform/standin';
 import {LinkProxy} from '../infra/link-proxy.js';
 
@@ -60,7 +60,7 @@
 	async crash({instance}: LinkedInstance, durationMs: number): Promise<void> {
 		await instance.crash();
 		const lapse = setTimeout(() => {
-			this.options.store.remove('servers', instance.id);
+			removeEndpoint(this.options.store, instance.id);
 		}, lapseMs);
 		await new Promise(resolve => {
 			setTimeout(resolve, durationMs);
@@ -79,7 +79,7 @@
 			setTimeout(resolve, afterMs);
 		});
 		await instance.stop();
-		this.options.store.remove('servers', instance.id);
+		removeEndpoint(this.options.store, instance.id);
 		this.members = this.members.filter(other => other !== member);
 		await member.link.stop();
 		await this.#add(this.group.leader ? 'replica' : 'primary', instance);
@@ -106,7 +106,7 @@
 			const state = `${instance.role} ${instance.state} ${instance.bornAtMs}`;
 			if (this.#reported.get(instance.id) !== state && !instance.isDark) {
 				this.#reported.set(instance.id, state);
-				this.options.store.put('servers', instance.id, {...instance.entry, address: `127.0.0.1:${link.port}`});
+				putEndpoint(this.options.store, instance, link.port);
 			}
 		}
 	}
