Leave a group alone that recovers while another one is failed over

Two groups were due; while the first waited for the lease, the next check deleted the suspicion of the second, which had recovered, and the driver then wrote to it: a TypeError, unhandled.

Test: fails with 'Cannot set properties of undefined' before.

--- a/packages/pooler/src/failover/failover-driver.ts
+++ b/packages/pooler/src/failover/failover-driver.ts
@@ -123,7 +123,12 @@
 
 	async #replace(group: Group): Promise<void> {
 		const {lease, promotions, announcements, timers, events, hostId} = this.options;
-		const suspicion = this.#suspicions.get(group.service)!;
+		const suspicion = this.#suspicions.get(group.service);
+		if (!suspicion) {
+			// The group recovered while another one was dealt with.
+			return;
+		}
+
 		const held = await lease.acquire();
 		if (!held) {
 			suspicion.notBeforeMs = timers.nowMs() + staggerMs;
--- /dev/null
+++ b/packages/pooler/test/failover/failover-driver.test.ts
@@ -0,0 +1,51 @@
+import {ManualTimerService, MemoryPlatform} from '@dogwoodthread/coordination';
+import {errAsync} from 'neverthrow';
+import {test} from 'tap';
+import {
+	type DutyLease, FailoverDriver, type Group, type Member, TermAnnouncements,
+} from '../../src/index.js';
+import {MemoryEventLog} from '../fixtures/fake-endpoints.js';
+
+/** A group without a primary whose replica receives nothing. */
+function leaderlessGroup(service: string, timers: ManualTimerService): Group & {leaderlessSinceMs: number} {
+	const replica = {
+		get statusAskedAtMs() {
+			return timers.nowMs();
+		},
+		status: {role: 'replica', term: 1, fencedTerm: 0}, receivedAdvancedAtMs: -60_000, endpoint: {service, state: 'ready'},
+	} as unknown as Member;
+	return {
+		service, leader: undefined, leaderlessSinceMs: -60_000, members: new Map([['r1', replica]]),
+	} as unknown as Group & {leaderlessSinceMs: number};
+}
+
+// Guards against a process that ends by itself: two groups had to be failed over, and the second one had recovered while
+// the first was dealt with (kiambu-nets, trouble-1 in two scores: exit code 1).
+test('a group that recovers while another one is failed over is left alone', async t => {
+	const timers = new ManualTimerService();
+	// This host waits about as long before it acts on either, so both are due in the same check.
+	const groups = [leaderlessGroup('ledger', timers), leaderlessGroup('lanes', timers)];
+	let attempts = 0;
+	const lease = {
+		async acquire() {
+			attempts += 1;
+			groups[1]!.leaderlessSinceMs = timers.nowMs();
+			await timers.sleep(300);
+			return undefined;
+		},
+	} as unknown as DutyLease;
+	const driver = new FailoverDriver({
+		lease,
+		promotions: {promote: () => errAsync({kind: 'unavailable', message: 'not expected', outcomeKnown: true})},
+		announcements: new TermAnnouncements(new MemoryPlatform()),
+		timers,
+		events: new MemoryEventLog(),
+		hostId: 'h1',
+		groups: () => groups,
+	});
+	timers.advance(1000);
+	driver.start();
+	await timers.advanceAsync(2000, 20);
+	t.ok(attempts > 0);
+	driver.stop();
+});
