Log how long a host has not heard of its configuration and endpoints

New: 'watch-lost' for each call without an answer (how long it was open, how long nothing was heard, whether its connection had served an earlier call) and 'watch-restored'; 'store-object-rejected'; the age of the configuration with a refusal for an unknown database; metrics dogwood_configuration_version and dogwood_catalog_age_seconds. No decision is changed.

--- a/packages/ctl/src/commands/explain/domain/explain-request.ts
+++ b/packages/ctl/src/commands/explain/domain/explain-request.ts
@@ -25,6 +25,8 @@
 	'dependency-restored',
 	'clock-discontinuity',
 	'connection-share-changed',
+	'watch-lost',
+	'watch-restored',
 	'configuration-applied',
 	'process-started',
 	'process-stopping',
--- a/packages/pooler/src/catalog/catalog.ts
+++ b/packages/pooler/src/catalog/catalog.ts
@@ -1,5 +1,5 @@
 import {
-	type CatalogListener, type Configuration, type Endpoint, type Route, type ServiceLimits,
+	type CatalogListener, type CatalogPart, type Configuration, type Endpoint, type Route, type ServiceLimits,
 } from './definitions.js';
 
 type Subscriber = () => void;
@@ -8,6 +8,7 @@
 export class Catalog implements CatalogListener {
 	#configuration: Configuration | undefined;
 	#endpoints: readonly Endpoint[] | undefined;
+	readonly #confirmedAtMs = new Map<CatalogPart, number>();
 	#routes = new Map<string, Route>();
 	readonly #subscribers: Subscriber[] = [];
 
@@ -32,6 +33,12 @@
 		return this.#endpoints ?? [];
 	}
 
+	/** Time since the store last confirmed a part, in ms; undefined before the first time. */
+	ageMs(part: CatalogPart, nowMs: number): number | undefined {
+		const confirmedAtMs = this.#confirmedAtMs.get(part);
+		return confirmedAtMs === undefined ? undefined : Math.round(nowMs - confirmedAtMs);
+	}
+
 	route(database: string): Route | undefined {
 		return this.#routes.get(database);
 	}
@@ -56,6 +63,10 @@
 		this.#notify();
 	}
 
+	onConfirmed(part: CatalogPart, atMs: number): void {
+		this.#confirmedAtMs.set(part, atMs);
+	}
+
 	#notify(): void {
 		for (const subscriber of this.#subscribers) {
 			subscriber();
--- a/packages/pooler/src/catalog/definitions.ts
+++ b/packages/pooler/src/catalog/definitions.ts
@@ -53,6 +53,10 @@
 	bornAtMs: number;
 };
 
+/** Parts of the catalog, each followed by a watch of its own. */
+export const catalogParts = ['configuration', 'endpoints'] as const;
+export type CatalogPart = typeof catalogParts[number];
+
 /** Source of the catalog; each callback gets the whole, whenever something changed. */
 export type CatalogSource = {
 	start(listener: CatalogListener): void;
@@ -62,4 +66,6 @@
 export type CatalogListener = {
 	onConfiguration(configuration: Configuration): void;
 	onEndpoints(endpoints: readonly Endpoint[]): void;
+	/** A part was current at `atMs`, in steady time, whether it had changed or not. */
+	onConfirmed(part: CatalogPart, atMs: number): void;
 };
--- a/packages/pooler/src/catalog/index.ts
+++ b/packages/pooler/src/catalog/index.ts
@@ -1,6 +1,7 @@
 /** Configuration and endpoints as the platform publishes them. */
 export {Catalog} from './catalog.js';
+export {catalogParts} from './definitions.js';
 export type {
-	CatalogListener, CatalogSource, Configuration, Consistency, Endpoint, Route, ServiceLimits,
+	CatalogListener, CatalogPart, CatalogSource, Configuration, Consistency, Endpoint, Route, ServiceLimits,
 } from './definitions.js';
 export {watchWaitMs} from './watch-wait.js';
--- a/packages/pooler/src/daemon/pooler.ts
+++ b/packages/pooler/src/daemon/pooler.ts
@@ -57,7 +57,9 @@
 	readonly #hedges = new RetryBudget({ratio: hedgeRatio, burst: hedgeBurst});
 
 	constructor(private readonly options: PoolerOptions) {
-		const {timers, events, platform, promotions, self} = options;
+		const {
+			timers, events, platform, promotions, self, metrics,
+		} = options;
 		this.#clock = new ContinuityClock(timers, jumpMs => {
 			events.write('clock-discontinuity', {jumpMs: Math.round(jumpMs)});
 		});
@@ -86,8 +88,10 @@
 			groups: () => [...this.#groups.values()],
 		});
 		this.catalog.subscribe(() => {
+			metrics.configurationVersion(this.catalog.version);
 			this.#updateGroups();
 		});
+		metrics.catalogAge(part => this.catalog.ageMs(part, timers.nowMs()));
 	}
 
 	/** Whether statements can be served: the catalog is known, and some endpoint of each service in use answers. */
--- a/packages/pooler/src/observability/budgeted-event-log.ts
+++ b/packages/pooler/src/observability/budgeted-event-log.ts
@@ -18,6 +18,8 @@
 
 const warnings: ReadonlySet<EventName> = new Set([
 	'dependency-lost',
+	'watch-lost',
+	'store-object-rejected',
 	'configuration-rejected',
 	'endpoint-entry-rejected',
 	'endpoint-unreachable',
--- a/packages/pooler/src/session/session.ts
+++ b/packages/pooler/src/session/session.ts
@@ -274,6 +274,7 @@
 			detail,
 			transactionIds: this.#transaction && this.#transactionIds.join(' '),
 			configurationVersion: this.context.catalog.version,
+			configurationAgeMs: this.context.catalog.ageMs('configuration', this.context.timers.nowMs()),
 		});
 		return this.#failed(failure, detail);
 	}
