Derive the timing of watches from their own bound

Cause: the wait of a watch was stable_ms + config_apply_ms - 1.7 s, as if a host had the bound on top of the time after a disruption. The two run side by side, so the sum bounds nothing: a watch that began just before an outage ended was given up 6.3 s after it, the one of the endpoints after 10.3 s, and the next call waited as long again. Class: a time limit derived from spans that overlap; what a host believes was as old as the limit, not as its bound.

Now wait and answer of a watch leave 1 s of config_apply_ms, and of 3/7 of drain_ms, for a second call; the rest of the drain bound is the time for replacing a leaving primary, which was a constant beside it. After a call without an answer the next one does not wait. No time after a disruption is counted on. The loop that decides this moves from the adapter to the product (ChangeFollower), where time can be simulated.

--- a/packages/pooler/src/catalog/index.ts
+++ b/packages/pooler/src/catalog/index.ts
@@ -4,4 +4,9 @@
 export type {
 	CatalogListener, CatalogPart, CatalogSource, Configuration, Consistency, Endpoint, Route, ServiceLimits,
 } from './definitions.js';
-export {watchWaitMs} from './watch-wait.js';
+export {
+	ChangeFollower, type ChangeBatch, type ChangeFeed, type ChangeFeedError, type ChangeFollowerOptions,
+} from './change-follower.js';
+export {
+	drainNoticeMs, leavingPrimaryGraceMs, watchTiming, type WatchTiming,
+} from './watch-timing.js';
--- a/packages/pooler/src/daemon/pooler.ts
+++ b/packages/pooler/src/daemon/pooler.ts
@@ -2,7 +2,7 @@
 	type LogPosition, type Platform, type RandomSource, RetryBudget, type TimerService,
 } from '@dogwoodthread/coordination';
 import {
-	Catalog, type CatalogSource, type Endpoint, type ServiceLimits,
+	Catalog, type CatalogSource, type Endpoint, leavingPrimaryGraceMs, type ServiceLimits,
 } from '../catalog/index.js';
 import {type EndpointConnector} from '../endpoint/index.js';
 import {
@@ -26,6 +26,8 @@
 	platform: Platform;
 	promotions: PromotionService;
 	peers: PeerConnector;
+	/** Time from the acknowledgement that an endpoint leaves until nothing may reach it, in ms. */
+	drainBoundMs: number;
 	random: RandomSource;
 	timers: TimerService;
 	events: EventLog;
@@ -238,9 +240,9 @@
 	}
 
 	#addGroup(service: string, limits: ServiceLimits): Group {
-		const {timers, events, connector} = this.options;
+		const {timers, events, connector, drainBoundMs} = this.options;
 		const group: Group = new Group({
-			service, limits, timers, clock: this.#clock, events,
+			service, limits, timers, clock: this.#clock, events, leavingPrimaryGraceMs: leavingPrimaryGraceMs(drainBoundMs),
 			announcedTerm: async () => this.#announcements.term(service),
 			departedFloor: async () => this.#announcements.floor(service),
 			onDeparture: (memberId, position) => {
--- a/packages/pooler/src/group/group.ts
+++ b/packages/pooler/src/group/group.ts
@@ -13,6 +13,8 @@
 export type GroupOptions = {
 	service: string;
 	limits: ServiceLimits;
+	/** How long a primary that leaves gets new work, in ms; its replacement has this long. */
+	leavingPrimaryGraceMs: number;
 	timers: TimerService;
 	clock: ContinuityClock;
 	events: EventLog;
@@ -80,6 +82,10 @@
 		return this.#limits;
 	}
 
+	get leavingPrimaryGraceMs(): number {
+		return this.options.leavingPrimaryGraceMs;
+	}
+
 	get leader(): Member | undefined {
 		return this.#leader;
 	}
--- a/packages/pooler/src/session/operation.ts
+++ b/packages/pooler/src/session/operation.ts
@@ -49,8 +49,6 @@
 
 /** The data of a bounded read may be older by this much than asked for at most, less, in ms. */
 const stalenessMarginMs = 50;
-/** A primary that is leaving gets no new work this long after its notice, in ms; the promotion has this long. */
-const drainingPrimaryGraceMs = 4000;
 
 /** Position that a read must see, by the route's consistency; `undefined` if none is known in time. */
 export async function requiredPosition(operation: LocalOperation, timers: TimerService): Promise<LogPosition | undefined> {
@@ -80,7 +78,7 @@
 		const nowMs = timers.nowMs();
 		const isStalled = group.isLeaderStalled(nowMs);
 		// While the primary is stalled one write at a time finds out whether it confirms again.
-		if (leader && isUsableLeader(leader, nowMs) && (!isStalled || leader.pendingWrites.size === 0)) {
+		if (leader && isUsableLeader(leader, group, nowMs) && (!isStalled || leader.pendingWrites.size === 0)) {
 			return ok(leader);
 		}
 
@@ -96,8 +94,8 @@
 	}
 }
 
-const isUsableLeader = (leader: Member, nowMs: number): boolean =>
-	leader.endpoint.state === 'ready' || leader.drainingForMs(nowMs) < drainingPrimaryGraceMs;
+const isUsableLeader = (leader: Member, group: Group, nowMs: number): boolean =>
+	leader.endpoint.state === 'ready' || leader.drainingForMs(nowMs) < group.leavingPrimaryGraceMs;
 
 /** A connection to the primary, for writes, transactions and reads that must see every commit. */
 export async function acquireLeader(operation: LocalOperation, context: OperationContext): Promise<Result<HeldConnection, StatementFailure>> {
--- a/tap-snapshots/platform/test/settings.test.ts.test.cjs
+++ b/tap-snapshots/platform/test/settings.test.ts.test.cjs
@@ -33,12 +33,12 @@
     "host": "10.1.0.8",
     "port": 8784,
   },
-  "configurationBoundMs": 7000,
+  "configurationBoundMs": 3000,
   "control": Object {
     "host": "10.200.0.160",
     "port": 8783,
   },
-  "drainBoundMs": 11000,
+  "drainBoundMs": 7000,
   "failureDomain": "a",
   "hostId": "front-a-1",
   "metrics": Object {
