List again after an event that cannot be read

Callers could be answered by an old configuration, or their work sent to an endpoint that left, until the next change: an event whose object could not be read was dropped, and the watch went on from the newer revision. Class: progress is recorded although the input was not taken over.

--- a/packages/pooler/src/catalog/catalog.ts
+++ b/packages/pooler/src/catalog/catalog.ts
@@ -48,14 +48,15 @@
 		this.#subscribers.push(subscriber);
 	}
 
-	onConfiguration(configuration: Configuration): void {
+	onConfiguration(configuration: Configuration): boolean {
 		if (configuration.version < this.version) {
-			return;
+			return false;
 		}
 
 		this.#configuration = configuration;
 		this.#routes = new Map(configuration.routes.map(route => [route.database, route]));
 		this.#notify();
+		return true;
 	}
 
 	onEndpoints(endpoints: readonly Endpoint[]): void {
--- a/packages/pooler/src/catalog/change-follower.ts
+++ b/packages/pooler/src/catalog/change-follower.ts
@@ -5,7 +5,12 @@
 import {type WatchTiming} from './watch-timing.js';
 
 /** Changes up to `revision` of the store, from which a watch continues. */
-export type ChangeBatch<Change> = {changes: Change[]; revision: number};
+export type ChangeBatch<Change> = {
+	changes: Change[];
+	revision: number;
+	/** False if some changes could not be read and are missing. */
+	isComplete: boolean;
+};
 
 /**
  * - `history-gone`: the store no longer knows the changes since the revision.
@@ -96,9 +101,10 @@
 			return answer.map(() => 0);
 		}
 
-		this.#revision = answer.value.revision;
+		const {changes, isComplete} = answer.value;
+		// The list may still show what an unreadable event was about. What is unreadable there too is left alone.
+		this.#revision = isComplete || revision === undefined ? answer.value.revision : undefined;
 		onConfirmed();
-		const {changes} = answer.value;
 		if (revision === undefined) {
 			onList(changes);
 			return answer.map(() => 0);
--- a/packages/pooler/src/catalog/definitions.ts
+++ b/packages/pooler/src/catalog/definitions.ts
@@ -64,7 +64,8 @@
 };
 
 export type CatalogListener = {
-	onConfiguration(configuration: Configuration): void;
+	/** Gives false if a later version is in force, which then stays. */
+	onConfiguration(configuration: Configuration): boolean;
 	onEndpoints(endpoints: readonly Endpoint[]): void;
 	/** A part was current at `atMs`, in steady time, whether it had changed or not. */
 	onConfirmed(part: CatalogPart, atMs: number): void;
--- a/packages/pooler/test/catalog/change-follower.test.ts
+++ b/packages/pooler/test/catalog/change-follower.test.ts
@@ -29,7 +29,7 @@
 	}
 
 	async list(): Promise<Answer> {
-		return this.#call(callTimeoutMs, async () => ({changes: [...this.#changes], revision: this.#revision}));
+		return this.#call(callTimeoutMs, async () => ({changes: [...this.#changes], revision: this.#revision, isComplete: true}));
 	}
 
 	async watch(revision: number, {waitMs, timeoutMs}: WatchTiming): Promise<Answer> {
@@ -38,7 +38,7 @@
 				await this.#nextChange(waitMs);
 			}
 
-			return {changes: this.#changes.filter(change => change > revision), revision: this.#revision};
+			return {changes: this.#changes.filter(change => change > revision), revision: this.#revision, isComplete: true};
 		});
 	}
 
