Check late configurations in the soak by the same rule as the users

The users' bound excuses only the time until 4 s after the fault, whenever the change was made. The check is now as strict as that, a function of its own, with a table of cases in history-checks.test.ts.

--- a/packages/load/src/soak/core/configuration-probe.ts
+++ b/packages/load/src/soak/core/configuration-probe.ts
@@ -1,6 +1,6 @@
 import {LineClient} from '@dogwoodthread/platform/standin';
 import {type SoakHistory, type Violation} from '../definitions.js';
-import {bounds, isCalm} from '../domain/history-checks.js';
+import {isConfigurationLate} from '../domain/history-checks.js';
 import {type SoakFleet, type SoakHost} from './soak-fleet.js';
 
 const intervalMs = 400;
@@ -45,7 +45,7 @@
 			const detail = `host ${host.index} does not know ${database}, ${Math.round(sentAtMs - acknowledgedAtMs)} ms after the store took it`;
 			if (this.#served.has(key)) {
 				this.violations.push({kind: 'configuration-regress', statementId: '', detail});
-			} else if (sentAtMs - acknowledgedAtMs > bounds.configurationMs && isCalm(this.history, acknowledgedAtMs, performance.now())) {
+			} else if (isConfigurationLate({acknowledgedAtMs, sentAtMs, answeredAtMs: performance.now()}, this.history)) {
 				this.violations.push({kind: 'configuration-late', statementId: '', detail});
 			}
 		}
--- a/packages/load/src/soak/domain/history-checks.ts
+++ b/packages/load/src/soak/domain/history-checks.ts
@@ -142,6 +142,15 @@
 export const isCalm = ({disturbances}: Pick<SoakHistory, 'disturbances'>, fromMs: number, untilMs: number): boolean =>
 	!disturbances.some(span => span.fromMs < untilMs && span.untilMs + bounds.stableMs > fromMs);
 
+/**
+ * Whether a statement that a host answered by an older configuration was sent too late for that. A change that was
+ * acknowledged during a fault has the same bound, which holds again once the fault has been over for the stable time.
+ */
+export const isConfigurationLate = (
+	{acknowledgedAtMs, sentAtMs, answeredAtMs}: {acknowledgedAtMs: number; sentAtMs: number; answeredAtMs: number},
+	history: Pick<SoakHistory, 'disturbances'>,
+): boolean => sentAtMs - acknowledgedAtMs > bounds.configurationMs && isCalm(history, sentAtMs, answeredAtMs);
+
 const checkDrained: Check = ({history, runs}) => history.drained.flatMap(({instanceId, acknowledgedAtMs}) => {
 	const deadlineMs = acknowledgedAtMs + bounds.drainMs;
 	return [...runs.values()].flat()
--- a/packages/load/test/soak/history-checks.test.ts
+++ b/packages/load/test/soak/history-checks.test.ts
@@ -1,7 +1,7 @@
 import {emptyLog, type LogEntry, type RunRecord} from '@dogwoodthread/platform/standin';
 import {test} from 'tap';
 import {type ClientAttempt, type SoakHistory} from '../../src/soak/definitions.js';
-import {checkHistory} from '../../src/soak/index.js';
+import {checkHistory, isConfigurationLate} from '../../src/soak/domain/history-checks.js';
 
 const commit = (previous: LogEntry, ...statementIds: string[]): LogEntry => ({
 	term: 1, index: previous.index + 1, previous, statementIds, changes: statementIds.map(id => ['lane', `data-${id}`] as const),
@@ -134,3 +134,19 @@
 	t.matchSnapshot(Object.entries(cases).map(([name, change]) => [name, checkHistory({...good, ...change}).map(({kind, statementId}) => `${kind} ${statementId}`)]));
 	t.end();
 });
+
+// Guards against a soak that excuses a late configuration because the change was made during, or just after, a fault.
+test('a configuration is late once the fault has been over for the stable time, whenever the change was made', t => {
+	const disturbances = [{fromMs: 5000, untilMs: 8000}];
+	const isLate = (acknowledgedAtMs: number, sentAtMs: number) => isConfigurationLate({acknowledgedAtMs, sentAtMs, answeredAtMs: sentAtMs + 10}, {disturbances});
+	t.matchSnapshot({
+		'in the fault, asked too early': isLate(7000, 11_900),
+		'in the fault, asked late': isLate(7000, 12_100),
+		'just after it, asked too early': isLate(8100, 11_900),
+		'just after it, asked late': isLate(8100, 12_100),
+		'within the bound': isLate(11_500, 14_400),
+		'in calm, asked late': isLate(20_000, 23_100),
+		'in calm, asked in the next fault': isLate(1000, 5100),
+	});
+	t.end();
+});
--- a/tap-snapshots/packages/load/test/soak/history-checks.test.ts.test.cjs
+++ b/tap-snapshots/packages/load/test/soak/history-checks.test.ts.test.cjs
@@ -5,6 +5,18 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
+exports[`packages/load/test/soak/history-checks.test.ts > TAP > a configuration is late once the fault has been over for the stable time, whenever the change was made > must match snapshot 1`] = `
+Object {
+  "in calm, asked in the next fault": false,
+  "in calm, asked late": true,
+  "in the fault, asked late": true,
+  "in the fault, asked too early": false,
+  "just after it, asked late": true,
+  "just after it, asked too early": false,
+  "within the bound": false,
+}
+`
+
 exports[`packages/load/test/soak/history-checks.test.ts > TAP > each check finds its violation > must match snapshot 1`] = `
 Array [
   Array [
