--- a/packages/load/src/soak/core/inject-faults.ts
+++ b/packages/load/src/soak/core/inject-faults.ts
@@ -101,6 +101,12 @@
 	async #strikeStore({kind, durationMs}: PlannedFault): Promise<void> {
 		const {store} = this.fleet;
 		switch (kind) {
+			case 'silence-connections': {
+				store.silenceOpenConnections();
+				await sleep(durationMs);
+				break;
+			}
+
 			case 'forget-history': {
 				store.compact();
 				break;
--- a/packages/load/src/soak/core/run-soak.ts
+++ b/packages/load/src/soak/core/run-soak.ts
@@ -5,7 +5,7 @@
 import {
 	type ClientAttempt, type SoakHistory, type SoakOptions, type SoakReport, type Violation,
 } from '../definitions.js';
-import {planFaults} from '../domain/fault-plan.js';
+import {planClosingFaults, planFaults} from '../domain/fault-plan.js';
 import {bounds, checkHistory, isCalm} from '../domain/history-checks.js';
 import {ConfigurationProbe} from './configuration-probe.js';
 import {FaultInjector} from './inject-faults.js';
@@ -19,6 +19,8 @@
 /** After this, in ms, a service that has not recovered is given up. */
 const recoveryGiveUpMs = 30_000;
 const convergenceMs = 15_000;
+/** Time after the last outage, and after the stable time that follows it, in which hosts are asked for the changes, in ms. */
+const closingCheckMs = 1500;
 
 const sleep = async (durationMs: number): Promise<void> => new Promise(resolve => {
 	setTimeout(resolve, durationMs);
@@ -45,7 +47,9 @@
 		const faults = planFaults(random.fork(), durationMs);
 		log('faults begin', {faults: faults.length});
 		await Promise.all([injector.run(faults), sleep(durationMs)]);
-		log('all faults are healed; killing all processes');
+		log('all faults are healed; a last outage of the store');
+		await playClosingFaults(injector, planClosingFaults(random.fork()));
+		log('killing all processes');
 		await injector.killAll();
 		const recoveryMs = await measureRecovery(fleet, soakDatabases.map((_, index) => createClient(clients.length + index)));
 		clients.map(client => {
@@ -78,6 +82,11 @@
 	}
 }
 
+/** Returns once the bound of the changes has held again for a while. */
+async function playClosingFaults(injector: FaultInjector, {faults, healedAtMs}: ReturnType<typeof planClosingFaults>): Promise<void> {
+	await Promise.all([injector.run(faults), sleep(healedAtMs + bounds.stableMs + closingCheckMs)]);
+}
+
 /** Time until each database has answered a write, in ms; one client asks for each. */
 async function measureRecovery({hosts}: SoakFleet, clients: readonly SoakClient[]): Promise<number> {
 	const startedMs = performance.now();
--- a/packages/load/src/soak/domain/fault-plan.ts
+++ b/packages/load/src/soak/domain/fault-plan.ts
@@ -48,3 +48,21 @@
 
 	return faults.filter(fault => fault.atMs < durationMs).toSorted((a, b) => a.atMs - b.atMs);
 }
+
+const closingOutageMs = {shortest: 1000, longest: 4500};
+const closingChangesAfterMs = [100, 600];
+
+/**
+ * Faults that end a run: the store hears nothing for a while, and the configuration changes just after it. Random faults
+ * seldom leave the hosts the calm that the bound of a configuration needs.
+ */
+export function planClosingFaults(random: SeededRandom): {faults: PlannedFault[]; healedAtMs: number} {
+	const durationMs = random.int(closingOutageMs.shortest, closingOutageMs.longest);
+	const outage = {
+		atMs: 0, target: 'store' as const, kind: random.pick(['silent', 'silence-connections'])!, victim: 0, durationMs,
+	};
+	const changes = closingChangesAfterMs.map(afterMs => ({
+		atMs: durationMs + afterMs, target: 'planned' as const, kind: 'add-database', victim: 0, durationMs: 0,
+	}));
+	return {faults: [outage, ...changes], healedAtMs: durationMs};
+}
