--- a/packages/pooler/src/daemon/shut-down.ts
+++ b/packages/pooler/src/daemon/shut-down.ts
@@ -23,7 +23,7 @@
 };
 
 /** The load balancer asks once a second and needs two misses, so it sends no new connections after this, in ms. */
-const outOfRotationMs = 2200;
+export const outOfRotationMs = 2200;
 /** Open transactions have this part of the grace to end. */
 const transactionGraceShare = 0.5;
 /** The process must be gone this long before it is killed, in ms. */
