--- a/packages/pooler/src/catalog/change-follower.ts
+++ b/packages/pooler/src/catalog/change-follower.ts
@@ -34,7 +34,7 @@
 export type ChangeFollowerOptions<Change> = {
 	part: CatalogPart;
 	feed: ChangeFeed<Change>;
-	/** Time within which a change must be taken over, in ms. */
+	/** Timing of the watches that wait. */
 	timing: WatchTiming;
 	timers: TimerService;
 	events: EventLog;
