Run nothing for a transaction that ended while it got its connection

Cause, by reading and by a test: an abort that comes while the first statement still waits for a connection finds nothing to release; the statement then goes on, runs, and its connection is never given back. A forwarded transaction is aborted like that when its sender's time is over, a client's own when it leaves. During the preparation of the connection the statement could go on over one that was given back already. Class: state is not checked again after a wait.

Now the state is checked after each wait. The test ends a transaction after each of 40 turns of its first statement: before, the statement ran late or a connection stayed held in many of them; now in none.

--- a/packages/pooler/src/session/transaction.ts
+++ b/packages/pooler/src/session/transaction.ts
@@ -52,6 +52,11 @@
 
 		const held = opened.value;
 		const ready = await prepareConnection(held.connection, this.options.session, statement.prepared, this.#leftMs(operation));
+		if (this.#state !== 'open') {
+			// Given up meanwhile; its connection may serve another client by now.
+			return err(statementFailure('transaction-failed'));
+		}
+
 		if (ready.isErr()) {
 			return this.#lose(held, ready.error.kind === 'silent');
 		}
@@ -145,6 +150,9 @@
 			operation.progress.attempts += 1;
 
 			await context.timers.sleep(busyPauseMs);
+			if (this.#state !== 'open') {
+				return err(statementFailure('transaction-failed'));
+			}
 		}
 	}
 
@@ -154,6 +162,11 @@
 		}
 
 		const opened = await this.#begin({...operation, arrivedAtMs: this.options.beganAtMs});
+		if (opened.isOk() && this.#state !== 'open') {
+			void rollBack(opened.value, this.options.context);
+			return err(statementFailure('transaction-failed'));
+		}
+
 		if (opened.isOk()) {
 			this.#held = opened.value;
 		}
--- a/packages/pooler/test/session/session.test.ts
+++ b/packages/pooler/test/session/session.test.ts
@@ -209,3 +209,27 @@
 	t.equal(await fixture.say(session, write), 'busy idle');
 	t.ok(fixture.timers.nowMs() - startedMs <= 50, `refused after ${fixture.timers.nowMs() - startedMs} ms`);
 });
+
+// Guards against a statement that runs after its transaction was given up, and a connection that is never given back,
+// because the end came while the transaction was still getting its connection.
+test('a transaction that ends while its statement gets a connection runs nothing more', async t => {
+	const outcomes = await Promise.all(Array.from({length: 40}, async (_, turns) => {
+		const fixture = await new SessionFixture().start();
+		const session = fixture.open('holds');
+		await fixture.say(session, begin);
+		const answer = session.handle(read);
+		for (let turn = 0; turn < turns; turn += 1) {
+			await Promise.resolve();
+		}
+
+		const isSent = fixture.ran.includes('p/read:r');
+		session.close();
+		await fixture.settle(answer);
+		await fixture.pass(2000);
+		return {
+			ranLate: !isSent && fixture.ran.includes('p/read:r'),
+			heldConnections: [...fixture.group.members.values()].reduce((sum, {pool}) => sum + pool.inUse, 0),
+		};
+	}));
+	t.same(outcomes.filter(({ranLate, heldConnections}) => ranLate || heldConnections > 0), []);
+});
