Contain unexpected errors, and check messages between hosts

A line such as `null` at the port between hosts reached ForwardService, whose async handler threw; nobody awaited it, so Node.js ended the process and with it all its sessions. The same held for an error in the check of the failover, in a fleet read and in applying a change of the catalog.

Cause: tasks that nobody awaits had no handler for unexpected errors, and messages between hosts were cast, not checked.

Ruled out: ending the process on each unhandled error, as before: one request would end hundreds of sessions. Going on after an error inside the watch loop without care: the catalog would be half applied, so it is listed again.

Change: messages between hosts have a schema (fields of a newer host are allowed); an invalid one is logged and closes its link. guardTask logs unexpected errors of background tasks. The watch loop survives an error.

--- a/packages/ctl/src/commands/explain/domain/explain-request.ts
+++ b/packages/ctl/src/commands/explain/domain/explain-request.ts
@@ -46,6 +46,8 @@
 	'transaction-failed': 'an earlier statement of the transaction had failed',
 	'idle-in-transaction': 'the client was idle in the transaction for longer than the configuration allows',
 	'shutting-down': 'the host was stopping',
+	interrupted: 'the host stopped while the instance was at work',
+	'internal-error': 'an unexpected error at the host; see `unexpected-error` at the same time',
 	'no-transaction': 'the client sent COMMIT or ROLLBACK without a transaction',
 	'unknown-service': 'the configuration names a service without limits or instances',
 	'unknown-statement': 'the session has no prepared statement of that name',
--- a/packages/pooler/src/catalog/change-follower.ts
+++ b/packages/pooler/src/catalog/change-follower.ts
@@ -1,6 +1,6 @@
 import {type TimerService} from '@dogwoodthread/coordination';
-import {type Result} from 'neverthrow';
-import {type EventLog} from '../observability/index.js';
+import {err, type Result} from 'neverthrow';
+import {errorFields, type EventLog} from '../observability/index.js';
 import {type CatalogPart} from './definitions.js';
 import {type WatchTiming} from './watch-timing.js';
 
@@ -73,7 +73,7 @@
 		let retryMs = minRetryMs;
 		while (!this.#isStopped) {
 			const startedMs = timers.nowMs();
-			const answer = await this.#callFeed();
+			const answer = await this.#callFeedGuarded();
 			if (answer.isOk()) {
 				retryMs = minRetryMs;
 				if (answer.value > 0) {
@@ -87,6 +87,18 @@
 		}
 	}
 
+	/** An unexpected error must not end the loop, because the catalog would never change again. */
+	async #callFeedGuarded(): Promise<Result<number, ChangeFeedError>> {
+		try {
+			return await this.#callFeed();
+		} catch (error) {
+			this.options.events.write('unexpected-error', {task: `watch-${this.options.part}`, ...errorFields(error)});
+			// The changes may have been applied in part, so everything is listed again.
+			this.#revision = undefined;
+			return err({kind: 'unavailable', message: 'a change could not be applied'});
+		}
+	}
+
 	/** Makes one list or watch call; returns the number of changes from a watch, 0 for a list. */
 	async #callFeed(): Promise<Result<number, ChangeFeedError>> {
 		const {feed, timers, onList, onChanges, onConfirmed} = this.options;
--- a/packages/pooler/src/failover/failover-driver.ts
+++ b/packages/pooler/src/failover/failover-driver.ts
@@ -1,6 +1,6 @@
 import {type TimerService, type TimerSubscription} from '@dogwoodthread/coordination';
 import {type Group, type Member} from '../group/index.js';
-import {type EventLog} from '../observability/index.js';
+import {type EventLog, guardTask} from '../observability/index.js';
 import {type FailoverReason, type PromotionService} from './definitions.js';
 import {type PromotionLease} from './promotion-lease.js';
 import {failoverReason} from './failover-reason.js';
@@ -41,7 +41,9 @@
 
 	start(): void {
 		this.#checkTimer = this.options.timers.every(checkIntervalMs, () => {
-			void this.#runDueActions();
+			void guardTask('failover', this.options.events, async () => {
+				await this.#runDueActions();
+			});
 		});
 	}
 
--- a/packages/pooler/src/fleet/fleet.ts
+++ b/packages/pooler/src/fleet/fleet.ts
@@ -1,6 +1,6 @@
 import {type Platform, type TimerService} from '@dogwoodthread/coordination';
 import * as z from 'zod';
-import {type EventLog} from '../observability/index.js';
+import {type EventLog, guardTask} from '../observability/index.js';
 
 export type FleetOptions = {
 	platform: Platform;
@@ -59,15 +59,15 @@
 	}
 
 	start(): void {
-		void this.#register();
+		this.#guard(async () => this.#register());
 		for (const delayMs of startupRefreshDelaysMs) {
 			this.options.timers.after(delayMs, () => {
-				void this.#refresh();
+				this.#guard(async () => this.#refresh());
 			});
 		}
 
 		this.options.timers.every(refreshIntervalMs, () => {
-			void this.#refresh();
+			this.#guard(async () => this.#refresh());
 		});
 	}
 
@@ -77,6 +77,10 @@
 		await this.options.platform.remove('hosts', this.options.self.hostId, this.#ownVersion);
 	}
 
+	#guard(run: () => Promise<void>): void {
+		void guardTask('fleet', this.options.events, run);
+	}
+
 	async #register(): Promise<void> {
 		await this.#sendHeartbeat();
 		await this.#refresh();
@@ -99,7 +103,7 @@
 		}
 
 		timers.after(delayMs, () => {
-			void this.#sendHeartbeat();
+			this.#guard(async () => this.#sendHeartbeat());
 		});
 	}
 
@@ -114,7 +118,7 @@
 	#retryUntilLoaded(): void {
 		if (!this.#isLoaded) {
 			this.options.timers.after(retryDelayMs, () => {
-				void this.#refresh();
+				this.#guard(async () => this.#refresh());
 			});
 		}
 	}
--- a/packages/pooler/src/forward/forward-service.ts
+++ b/packages/pooler/src/forward/forward-service.ts
@@ -1,6 +1,6 @@
 import {type TimerService} from '@dogwoodthread/coordination';
 import {err} from 'neverthrow';
-import {type EventLog} from '../observability/index.js';
+import {type EventLog, guardTask} from '../observability/index.js';
 import {
 	type Executor, createProgress, type Operation, SessionState, statementFailure, type StatementFailure, type StatementResult, type TransactionHandle,
 } from '../session/index.js';
@@ -49,7 +49,9 @@
 			this.#abortIdleTransactions(transactions);
 		});
 		link.onMessage(request => {
-			void this.#handleRequest(link, request, transactions);
+			void guardTask('forwarded-request', this.options.events, async () => {
+				await this.#handleRequest(link, request, transactions);
+			});
 		});
 		link.onClose(() => {
 			this.#links.delete(link);
--- a/packages/pooler/src/forward/index.ts
+++ b/packages/pooler/src/forward/index.ts
@@ -5,5 +5,6 @@
 export {resetSocket} from './reset-socket.js';
 export {ForwardService, type ForwardServiceOptions} from './forward-service.js';
 export {HolderLink, type CallResult, type HolderLinkOptions} from './holder-link.js';
+export {parseReply, parseRequest} from './peer-messages.js';
 export {RemoteExecutor, type RemoteExecutorOptions} from './remote-executor.js';
 export {listenForPeers, TcpPeerConnector} from './tcp-peer-link.js';
--- a/packages/pooler/src/forward/tcp-peer-link.ts
+++ b/packages/pooler/src/forward/tcp-peer-link.ts
@@ -4,16 +4,25 @@
 import {
 	type ForwardReply, type ForwardRequest, type PeerConnector, type PeerLink,
 } from './definitions.js';
+import {parseReply, parseRequest} from './peer-messages.js';
 import {resetSocket} from './reset-socket.js';
 
 /** Maximum length of a line in characters: a message of 1 MiB after JSON escaping. */
 const maxLineLength = 8_388_608;
 
+/** Length of the part of a rejected message that is logged, in characters. */
+const maxReportedLength = 200;
+
 /** Newline-delimited JSON over one TCP connection. Strings hold bytes of the client protocol as Latin-1 characters. */
 class TcpPeerLink<Sent, Received> implements PeerLink<Sent, Received> {
 	#partialLine = '';
 
-	constructor(private readonly socket: Socket) {
+	/** `parse` returns undefined for a message that is not valid. */
+	constructor(
+		private readonly socket: Socket,
+		private readonly parse: (message: unknown) => Received | undefined,
+		private readonly onRejected: (message: string) => void,
+	) {
 		socket.setNoDelay(true);
 		socket.setEncoding('utf8');
 		// The close event that follows is handled; without an error listener Node.js would throw the error.
@@ -57,30 +66,51 @@
 	}
 
 	#deliverLine(line: string, callback: (message: Received) => void): void {
-		let message: Received;
-		try {
-			message = JSON.parse(line) as Received;
-		} catch {
-			// Only hosts of the same deployment connect, so a line that is not valid JSON means that the stream is corrupt.
+		const message = this.isOpen ? this.parse(parseJson(line)) : undefined;
+		if (message !== undefined) {
+			callback(message);
+		} else if (this.isOpen) {
+			// Whatever follows cannot be trusted either: the sender is no host of the fleet, or the stream is corrupt.
+			this.onRejected(line.slice(0, maxReportedLength));
 			this.close();
-			return;
 		}
+	}
+}
 
-		callback(message);
+/** Undefined if the text is not valid JSON. */
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
 	}
 }
 
+/** Called with the address of the sender and the beginning of a message that was not valid. */
+export type OnMessageRejected = (address: string, message: string) => void;
+
 /** Opens links over TCP. */
 export class TcpPeerConnector implements PeerConnector {
+	constructor(private readonly onRejected: OnMessageRejected = () => undefined) {}
+
 	connect(address: string): PeerLink<ForwardRequest, ForwardReply> {
 		const separator = address.lastIndexOf(':');
-		return new TcpPeerLink(connect({host: address.slice(0, separator), port: Number(address.slice(separator + 1))}));
+		const socket = connect({host: address.slice(0, separator), port: Number(address.slice(separator + 1))});
+		return new TcpPeerLink(socket, parseReply, message => {
+			this.onRejected(address, message);
+		});
 	}
 }
 
 /** Accepts links from other hosts. */
-export function listenForPeers(address: {host: string; port: number}, accept: (link: PeerLink<ForwardReply, ForwardRequest>) => void): Server {
+export function listenForPeers(
+	address: {host: string; port: number},
+	accept: (link: PeerLink<ForwardReply, ForwardRequest>) => void,
+	onRejected: OnMessageRejected = () => undefined,
+): Server {
 	return createServer(socket => {
-		accept(new TcpPeerLink(socket));
+		accept(new TcpPeerLink(socket, parseRequest, message => {
+			onRejected(`${socket.remoteAddress}:${socket.remotePort}`, message);
+		}));
 	}).listen(address.port, address.host);
 }
--- a/packages/pooler/src/observability/definitions.ts
+++ b/packages/pooler/src/observability/definitions.ts
@@ -8,6 +8,8 @@
 	'process-not-ready',
 	'process-stopping',
 	'process-stopped',
+	'stop-stage-ended',
+	'unexpected-error',
 	'settings-reloaded',
 	'log-lines-dropped',
 	'dependency-lost',
@@ -45,6 +47,7 @@
 	'departure-not-noted',
 	'host-appeared',
 	'host-gone',
+	'peer-message-rejected',
 ] as const;
 
 export type EventName = typeof eventNames[number];
--- a/packages/pooler/src/observability/index.ts
+++ b/packages/pooler/src/observability/index.ts
@@ -5,4 +5,5 @@
 export {
 	eventNames, type EventFields, type EventLog, type EventName,
 } from './definitions.js';
+export {errorFields, guardTask} from './guard-task.js';
 export {PoolerMetrics} from './pooler-metrics.js';
--- a/packages/pooler/src/observability/rate-limited-event-log.ts
+++ b/packages/pooler/src/observability/rate-limited-event-log.ts
@@ -29,6 +29,8 @@
 	'request-failed',
 	'forwarded-request-failed',
 	'promotion-abandoned',
+	'peer-message-rejected',
+	'unexpected-error',
 ]);
 
 /** Whether a served request is in the logged sample. Failed requests are logged regardless. */
--- a/packages/pooler/src/session/errors.ts
+++ b/packages/pooler/src/session/errors.ts
@@ -13,7 +13,7 @@
 export type FailureReason =
 	| 'unknown-database' | 'unknown-service' | 'malformed' | 'unknown-statement' | 'transaction-failed' | 'no-transaction'
 	| 'leader-unknown' | 'leader-stalled' | 'leadership-unproven' | 'position-unknown' | 'no-reader' | 'no-connection' | 'connection-lost'
-	| 'arrived-late' | 'endpoint-silent' | 'endpoint-error' | 'idle-in-transaction' | 'shutting-down';
+	| 'arrived-late' | 'endpoint-silent' | 'endpoint-error' | 'idle-in-transaction' | 'shutting-down' | 'interrupted' | 'internal-error';
 
 const failures: Record<FailureReason, {code: ErrorCode; text: string}> = {
 	'unknown-database': {code: 'unknown-database', text: 'no database of this name is configured; check the name'},
@@ -34,6 +34,8 @@
 	'endpoint-error': {code: 'failed', text: 'the instance refused the statement'},
 	'idle-in-transaction': {code: 'aborted', text: 'the transaction was idle for too long and was rolled back; repeat it'},
 	'shutting-down': {code: 'aborted', text: 'this host is stopping and rolled the transaction back; repeat it on a new connection'},
+	interrupted: {code: 'in-doubt', text: 'this host stopped before the instance had answered; read back on a new connection before repeating'},
+	'internal-error': {code: 'in-doubt', text: 'the statement met an unexpected error and this connection is closed; read back before repeating'},
 };
 
 export const statementFailure = (reason: FailureReason): StatementFailure => ({reason, ...failures[reason]});
