Answer every statement that has arrived before a stop ends

Cause: the trace shows that the process was not scheduled from 58.36 s to 63.61 s. When it ran again, every stage of the stop was overdue, so they all ended in one turn of the event loop, before the sockets were read. Connections with a statement at work at the end of the grace were closed without an answer as well.

Change: 700 ms before the end of the grace, or when an overdue stop runs again, the host reads what has arrived and refuses it (aborted: it has not run), and answers what is at work: in doubt if it may commit, aborted otherwise, since the transaction is rolled back with its connection.

Ruled out: refusing from the first SIGTERM on; statements that still have time are served as before.

--- a/packages/pooler/src/session/session.ts
+++ b/packages/pooler/src/session/session.ts
@@ -1,11 +1,11 @@
 import {type Catalog, type Route} from '../catalog/index.js';
-import {isSampled} from '../observability/index.js';
 import {type ClientAnswer, type ClientStatement, type TransactionState} from '../statement/index.js';
 import {statementFailure, type StatementFailure} from './errors.js';
 import {createProgress, type Operation, type OperationContext} from './operation.js';
 import {type Executor, type StatementResult, type TransactionHandle} from './executor.js';
 import {type SingleStatement} from './single-statement.js';
 import {SessionState} from './session-state.js';
+import {StatementLog} from './statement-log.js';
 
 export type SessionContext = OperationContext & {
 	catalog: Catalog;
@@ -15,8 +15,6 @@
 type Executable = Extract<ClientStatement, {kind: 'read' | 'write' | 'execute'}>;
 
 const noSignature = '-';
-/** A served statement that took longer than the route's latency objective times this factor is always logged. */
-const slowObjectiveFactor = 1;
 
 /** One client session: its session values, prepared statements and transaction. Statements are handled one at a time. */
 export class Session {
@@ -29,8 +27,15 @@
 	#isBusy = false;
 	/** Ids of the statements of the latest transaction; empty after a statement outside a transaction. */
 	#transactionIds: readonly string[] = [];
-
-	constructor(readonly database: string, private readonly context: SessionContext) {}
+	/** Answers the statement that is being handled, without waiting for it. */
+	#answerEarly: ((answer: ClientAnswer) => void) | undefined;
+	/** Whether the statement that is being handled may commit a write. */
+	#mayCommit = false;
+	readonly #log: StatementLog;
+
+	constructor(readonly database: string, private readonly context: SessionContext) {
+		this.#log = new StatementLog({...context, database});
+	}
 
 	get transactionState(): TransactionState {
 		if (!this.#transaction) {
@@ -42,13 +47,30 @@
 
 	async handle(statement: ClientStatement): Promise<ClientAnswer> {
 		this.#isBusy = true;
+		const earlyAnswer = new Promise<ClientAnswer>(resolve => {
+			this.#answerEarly = resolve;
+		});
 		try {
-			return await this.#handle(statement);
+			return await Promise.race([this.#handle(statement), earlyAnswer]);
 		} finally {
 			this.#isBusy = false;
+			this.#answerEarly = undefined;
 		}
 	}
 
+	/**
+	 * Answers the statement that is being handled at once, because the host stops: a write or commit is in doubt, and
+	 * nothing is kept of others. The session must be closed after that, which rolls back an open transaction.
+	 */
+	interrupt(): void {
+		this.#answerEarly?.(this.#errorAnswer(statementFailure(this.#mayCommit ? 'interrupted' : 'shutting-down')));
+	}
+
+	/** Answers a statement that is not run any more, because the host stops. */
+	refuse(statement: ClientStatement): ClientAnswer {
+		return this.#reject(statement, statementFailure('shutting-down'));
+	}
+
 	/**
 	 * Rolls back an open transaction while the client is idle. The client is told in the answer to its next statement,
 	 * because it expects no message before that.
@@ -145,6 +167,7 @@
 	}
 
 	async #commit(statement: Extract<ClientStatement, {kind: 'commit'}>): Promise<ClientAnswer> {
+		this.#mayCommit = true;
 		const transaction = this.#transaction;
 		if (!transaction) {
 			return this.#reject(statement, statementFailure('no-transaction'));
@@ -198,6 +221,7 @@
 				: statement,
 		};
 		const isWrite = statement.kind === 'write' || prepared?.access === 'write';
+		this.#mayCommit = isWrite && !this.#transaction;
 		const result = this.#transaction
 			? await this.#transaction.run(single, isWrite, operation)
 			: await executor.runSingle(single, isWrite, operation);
@@ -219,7 +243,9 @@
 	}
 
 	#finishOperation(operation: Operation, result: StatementResult, statementKind: string, executor: Executor): ClientAnswer {
-		this.#recordOutcome(operation, result, statementKind, executor);
+		this.#log.recordOutcome({
+			operation, result, statementKind, executor, transactionIds: this.#transactionIds,
+		});
 		if (result.isErr()) {
 			return this.#errorAnswer(result.error);
 		}
@@ -231,51 +257,9 @@
 		};
 	}
 
-	#recordOutcome(operation: Operation, result: StatementResult, statementKind: string, executor: Executor): void {
-		const {timers, events, metrics, catalog} = this.context;
-		const {
-			route, id, arrivedAtMs, progress,
-		} = operation;
-		const totalMs = timers.nowMs() - arrivedAtMs;
-		const code = result.isOk() ? 'served' : result.error.code;
-		metrics.recordRequest(route.consistency, code, totalMs);
-		if (result.isOk() && totalMs <= slowObjectiveFactor * route.latencyObjectiveMs && !isSampled(id)) {
-			return;
-		}
-
-		const isRefusal = result.isErr() && (code === 'busy' || code === 'lagging' || code === 'read-only' || code === 'aborted');
-		events.write(result.isOk() ? 'request-served' : (isRefusal ? 'request-refused' : 'request-failed'), {
-			requestId: id,
-			database: this.database,
-			service: route.service,
-			statementKind,
-			consistency: route.consistency,
-			code,
-			reason: result.isErr() ? result.error.reason : undefined,
-			detail: result.isErr() && result.error.fromEndpoint ? result.error.text : undefined,
-			totalMs: Math.round(totalMs),
-			attempts: progress.attempts,
-			positionMs: Math.round(progress.positionMs),
-			connectionMs: Math.round(progress.connectionMs),
-			transactionIds: result.isErr() && this.#transactionIds.length > 0 ? this.#transactionIds.join(' ') : undefined,
-			configurationVersion: catalog.version,
-			...executor.logFields(),
-		});
-	}
-
-	/** Refuses and logs a statement that was not passed to an executor, or whose transaction cannot continue. */
+	/** Refuses a statement that was not passed to an executor, or whose transaction cannot continue. */
 	#reject(statement: ClientStatement, failure: StatementFailure, detail = failure.text): ClientAnswer {
-		this.context.events.write('request-refused', {
-			requestId: statement.id,
-			database: this.database,
-			statementKind: statement.kind,
-			code: failure.code,
-			reason: failure.reason,
-			detail,
-			transactionIds: this.#transaction && this.#transactionIds.join(' '),
-			configurationVersion: this.context.catalog.version,
-			configurationAgeMs: this.context.catalog.ageMs('configuration', this.context.timers.nowMs()),
-		});
+		this.#log.recordRejection(statement, failure, detail, this.#transaction && this.#transactionIds);
 		return this.#errorAnswer(failure, detail);
 	}
 
--- a/packages/pooler/test/daemon/shut-down.test.ts
+++ b/packages/pooler/test/daemon/shut-down.test.ts
@@ -17,12 +17,16 @@
 		get openConnections() {
 			return timers.nowMs() < closesAtMs ? 1 : 0;
 		},
+		runningStatements: 0,
 		closeWhenIdle() {
 			recordStep('close when idle');
 		},
 		abortIdleTransactions() {
 			recordStep('abort idle transactions');
 		},
+		async answerRemaining() {
+			recordStep('answer remaining statements');
+		},
 		stop() {
 			recordStep('stop listening');
 		},
