Move statements to a host that reaches the endpoints

Cause: a host that holds connections runs every statement over its own ones. It waited for a promotion that was not due, or in the pool of the silent primary, for as long as the statement had.

Ruled out: leaving the rotation, since open connections stay and the balancer needs 2 s; passing on statements that met an overload, since all hosts share the slots of an instance.

Change: FallbackExecutor, a module without network. Group tells whether this host reaches the primary, or enough members for a read; statements that have not run go to another holder, which refuses at once what it cannot reach either. A forwarded call that was never sent is refused as not run; it was answered in doubt.

--- a/packages/ctl/src/commands/explain/domain/explain-request.ts
+++ b/packages/ctl/src/commands/explain/domain/explain-request.ts
@@ -39,6 +39,8 @@
 	'position-unknown': 'too few members answered to determine the position that a reader must have reached',
 	'no-reader': 'no member had the position that the read must see, or none answered',
 	'arrived-late': 'the statement took too long on its way to the host that holds the connections, which therefore did not run it',
+	'endpoint-unreachable': 'the host could not open a connection to the instance, or got no answer from it, and no other host could serve either',
+	'not-reachable': 'the host that holds the connections did not reach the instances, and no other one did',
 	'no-connection': 'all connections that this host may hold were in use for longer than the statement had',
 	'connection-lost': 'the connection to the instance or the holder ended before the answer',
 	'endpoint-silent': 'the instance did not answer within the time of the statement',
--- a/packages/pooler/src/daemon/pooler.ts
+++ b/packages/pooler/src/daemon/pooler.ts
@@ -12,7 +12,7 @@
 	Fleet, type FleetHost, type HolderPlan, planHolders,
 } from '../fleet/index.js';
 import {
-	ForwardService, HolderLink, type PeerConnector, type PeerLink, type ForwardReply, type ForwardRequest, RemoteExecutor,
+	FallbackExecutor, ForwardService, HolderLink, type PeerConnector, type PeerLink, type ForwardReply, type ForwardRequest, RemoteExecutor,
 } from '../forward/index.js';
 import {ClockDiscontinuityDetector, Group, Member} from '../group/index.js';
 import {type EventLog, type PoolerMetrics} from '../observability/index.js';
@@ -51,7 +51,7 @@
 	readonly catalog = new Catalog();
 	readonly #groups = new Map<string, Group>();
 	readonly #plans = new Map<string, HolderPlan>();
-	readonly #executors = new Map<string, {local?: LocalExecutor; remote: RemoteExecutor}>();
+	readonly #executors = new Map<string, {local?: LocalExecutor; fallback?: FallbackExecutor; remote: RemoteExecutor}>();
 	readonly #links = new Map<string, HolderLink>();
 	readonly #forwardService: ForwardService;
 	#lastTransactionNumber = 0;
@@ -158,7 +158,7 @@
 
 	#chooseExecutor(service: string): Executor | undefined {
 		const executors = this.#executors.get(service);
-		return executors?.local ?? executors?.remote;
+		return executors?.fallback ?? executors?.remote;
 	}
 
 	/** Applies the current catalog and fleet: plans the holders of each service, and updates the groups and executors. */
@@ -205,7 +205,11 @@
 		const existing = this.#executors.get(service);
 		const remote = existing?.remote ?? this.#createRemoteExecutor(service);
 		const local = isHolder && group ? existing?.local ?? new LocalExecutor(group, this.#operationContext()) : undefined;
-		this.#executors.set(service, {local, remote});
+		const {timers, events} = this.options;
+		const fallback = local && new FallbackExecutor({
+			service, local, remote, timers, events,
+		});
+		this.#executors.set(service, {local, fallback, remote});
 	}
 
 	#createRemoteExecutor(service: string): RemoteExecutor {
--- a/packages/pooler/src/forward/definitions.ts
+++ b/packages/pooler/src/forward/definitions.ts
@@ -18,6 +18,11 @@
 	leftMs: number;
 	values: Array<[string, string]>;
 	committed?: LogPosition;
+	/**
+	 * If false, the holder refuses at once what it cannot reach the endpoints for, and another one is tried. Otherwise,
+	 * also if absent, it waits for them, e.g. for a promotion.
+	 */
+	mayWait?: boolean;
 };
 
 /** A reading of the holder's monotonic clock. Readings from different epochs cannot be compared. */
--- a/packages/pooler/src/forward/forward-service.ts
+++ b/packages/pooler/src/forward/forward-service.ts
@@ -2,8 +2,9 @@
 import {err} from 'neverthrow';
 import {type EventLog, guardTask} from '../observability/index.js';
 import {
-	type Executor, createProgress, type Operation, SessionState, statementFailure, type StatementFailure, type StatementResult, type TransactionHandle,
+	createProgress, type Operation, SessionState, statementFailure, type StatementFailure, type StatementResult, type TransactionHandle,
 } from '../session/index.js';
+import {type LocalReach} from './fallback-executor.js';
 import {
 	type ClockReading, type ForwardedStatement, type ForwardReply, type ForwardRequest, type PeerLink,
 } from './definitions.js';
@@ -16,7 +17,7 @@
 	/** Maximum idle time of a transaction between two statements, in ms. */
 	transactionIdleMs: () => number;
 	/** Executor that uses this host's own connections to the service; `undefined` if the host holds none. */
-	executorOf: (service: string) => Executor | undefined;
+	executorOf: (service: string) => LocalReach | undefined;
 };
 
 type OpenTransaction = {handle: TransactionHandle; session: SessionState; lastUsedAtMs: number; isBusy: boolean};
@@ -143,6 +144,10 @@
 			return err(statementFailure('transaction-failed'));
 		}
 
+		if (!existing && !this.#canServe(request, !request.begin.readOnly)) {
+			return err(statementFailure('not-reachable'));
+		}
+
 		const open = existing ?? this.#beginTransaction(request);
 		if (!open) {
 			return err(statementFailure('no-connection'));
@@ -171,11 +176,20 @@
 			statement, command, prepared, isWrite,
 		} = request;
 		const executor = this.options.executorOf(statement.service);
+		if (!this.#canServe(request, isWrite)) {
+			return err(statementFailure('not-reachable'));
+		}
+
 		return executor
 			? executor.runSingle({command, prepared}, isWrite, this.#createOperation(request, createSession(statement)))
 			: err(statementFailure('no-connection'));
 	}
 
+	/** Whether this host reaches what the statement needs; true if it may wait for that. */
+	#canServe({statement: {service, consistency, mayWait = true}}: StatementRequest, isWrite: boolean): boolean {
+		return mayWait || (this.options.executorOf(service)?.canServe(isWrite || consistency === 'primary') ?? true);
+	}
+
 	#beginTransaction({begin, statement}: Extract<ForwardRequest, {kind: 'transaction' | 'commit'}>): OpenTransaction | undefined {
 		const executor = this.options.executorOf(statement.service);
 		if (!executor) {
@@ -199,6 +213,7 @@
 			arrivedAtMs: nowMs,
 			deadlineMs: sentAt.timeMs + statement.leftMs,
 			progress: createProgress(),
+			mayMove: statement.mayWait === false,
 			route: {
 				database: '',
 				service: statement.service,
--- a/packages/pooler/src/forward/index.ts
+++ b/packages/pooler/src/forward/index.ts
@@ -2,6 +2,7 @@
 export type {
 	ClockReading, ForwardedStatement, ForwardReply, ForwardRequest, PeerConnector, PeerLink,
 } from './definitions.js';
+export {FallbackExecutor, type FallbackExecutorOptions, type LocalReach} from './fallback-executor.js';
 export {resetSocket} from './reset-socket.js';
 export {ForwardService, type ForwardServiceOptions} from './forward-service.js';
 export {HolderLink, type CallResult, type HolderLinkOptions} from './holder-link.js';
--- a/packages/pooler/src/forward/peer-messages.ts
+++ b/packages/pooler/src/forward/peer-messages.ts
@@ -15,6 +15,7 @@
 	leftMs: z.number(),
 	values: z.array(z.tuple([z.string(), z.string()])),
 	committed: positionSchema.optional(),
+	mayWait: z.boolean().optional(),
 });
 
 const commandSchema = z.discriminatedUnion('kind', [
--- a/packages/pooler/src/group/group.ts
+++ b/packages/pooler/src/group/group.ts
@@ -35,6 +35,8 @@
 const stallThresholdMs = 700;
 /** A member that answers nothing for this long counts as unresponsive, in ms. */
 const unresponsiveThresholdMs = 500;
+/** When reads have waited for a commit bound for longer than this, in ms, this host does not reach the members that it needs for one. */
+const unboundedThresholdMs = 400;
 /** A commit bound is renewed this long before it becomes too old, in ms. */
 const boundRenewalLeadMs = 250;
 /** Timeout of a status request, in ms. The request may queue behind statements. */
@@ -57,6 +59,8 @@
 	readonly #proof: LeadershipProof;
 	readonly #departedMembersFloor: DepartedMembersFloor;
 	#closed = false;
+	/** Since when reads have been waiting for a commit bound in vain, in monotonic ms. */
+	#unboundedSinceMs: number | undefined;
 
 	constructor(private readonly options: GroupOptions) {
 		this.#limits = options.limits;
@@ -114,6 +118,15 @@
 		return leader !== undefined && (leader.stalledForMs(nowMs) > stallThresholdMs || leader.failingForMs(nowMs) > unresponsiveThresholdMs);
 	}
 
+	/** Whether this host reaches the primary and, if the primary is not needed, enough members for a read. */
+	canServe(needsLeader: boolean, nowMs: number): boolean {
+		const reachable = [...this.members.values()].filter(member => isReachable(member, nowMs));
+		const isLeaderReachable = this.#leader !== undefined && reachable.includes(this.#leader);
+		return needsLeader
+			? isLeaderReachable && !this.isLeaderStalled(nowMs)
+			: this.#unboundedForMs(nowMs) < unboundedThresholdMs && (isLeaderReachable || reachable.length >= this.#statusesNeededForBound);
+	}
+
 	/** Whether a promotion may still take place: some replica answers, or has not failed for long enough to be unresponsive. */
 	isPromotionPossible(nowMs: number): boolean {
 		return [...this.members.values()].some(member => member !== this.#leader && member.failingForMs(nowMs) < unresponsiveThresholdMs);
@@ -201,7 +214,7 @@
 		}
 
 		this.#proof.recordUnfenced(sentAtMs);
-		this.#bounds.add(sentAtMs, position);
+		this.#addBound(sentAtMs, position);
 	}
 
 	/** Oldest known position that is at or above all commits acknowledged before `atMs`. */
@@ -221,6 +234,7 @@
 				this.#pollForBound();
 			}
 
+			this.#unboundedSinceMs = bound ? undefined : this.#unboundedSinceMs ?? this.options.timers.nowMs();
 			const shouldGiveUp = remainingMs <= 0 || this.#closed;
 			if (bound ?? shouldGiveUp) {
 				return bound;
@@ -275,6 +289,10 @@
 		}
 	}
 
+	#unboundedForMs(nowMs: number): number {
+		return this.#unboundedSinceMs === undefined ? 0 : nowMs - this.#unboundedSinceMs;
+	}
+
 	/** Polls only as many members as a commit bound needs: the primary and the least loaded replicas. */
 	#pollForBound(): void {
 		const replicas = [...this.members.values()]
@@ -309,6 +327,10 @@
 				this.#pollUnlessRecent(member);
 			}
 
+			if (!isReachable(member, nowMs)) {
+				member.pool.failWaiting();
+			}
+
 			member.pool.maintain();
 		}
 	}
@@ -327,7 +349,7 @@
 		}
 
 		if (member === this.#leader && status.role === 'primary' && this.isLeadershipProven(member.statusRequestedAtMs)) {
-			this.#bounds.add(member.statusRequestedAtMs, status.received);
+			this.#addBound(member.statusRequestedAtMs, status.received);
 		}
 
 		this.#updateBounds();
@@ -354,7 +376,15 @@
 		}
 
 		const position = highestOf([...newest.map(({status}) => status!.received), ...(floor ? [floor] : [])]);
-		this.#bounds.add(newest.at(-1)!.statusRequestedAtMs, position);
+		this.#addBound(newest.at(-1)!.statusRequestedAtMs, position);
+	}
+
+	#addBound(requestedAtMs: number, position: LogPosition): void {
+		if (requestedAtMs >= (this.#unboundedSinceMs ?? Number.POSITIVE_INFINITY)) {
+			this.#unboundedSinceMs = undefined;
+		}
+
+		this.#bounds.add(requestedAtMs, position);
 	}
 
 	#setLeader(leader: Member | undefined, source: string): void {
@@ -429,5 +459,8 @@
 	}
 }
 
+const isReachable = (member: Member, nowMs: number): boolean =>
+	member.failingForMs(nowMs) < unresponsiveThresholdMs && member.silentForMs(nowMs) < unresponsiveThresholdMs;
+
 const highestOf = (positions: readonly LogPosition[]): LogPosition =>
 	positions.toSorted((a, b) => comparePositions(b, a))[0] ?? zeroPosition;
--- a/packages/pooler/src/group/member.ts
+++ b/packages/pooler/src/group/member.ts
@@ -46,6 +46,8 @@
 	#confirmedSentAtMs = Number.NEGATIVE_INFINITY;
 	#unconfirmedSinceMs: number | undefined;
 	#lastAnswerAtMs = Number.NEGATIVE_INFINITY;
+	/** Send times of the requests that are not answered yet. */
+	readonly #pendingRequests = new Set<{sentAtMs: number}>();
 
 	constructor(private readonly options: MemberOptions) {
 		this.endpoint = options.endpoint;
@@ -119,6 +121,21 @@
 		}
 	}
 
+	/** Records that a request is on its way to the member; call the returned function at its end. */
+	trackRequest(): () => void {
+		const request = {sentAtMs: this.options.timers.nowMs()};
+		this.#pendingRequests.add(request);
+		return () => {
+			this.#pendingRequests.delete(request);
+		};
+	}
+
+	/** How long the member has answered nothing although requests are pending, in ms. */
+	silentForMs(nowMs: number): number {
+		const [oldest] = this.#pendingRequests;
+		return oldest ? nowMs - Math.max(oldest.sentAtMs, this.#lastAnswerAtMs) : 0;
+	}
+
 	recordLatency(durationMs: number): void {
 		this.latencyMs += latencySmoothingFactor * (durationMs - this.latencyMs);
 	}
@@ -156,7 +173,9 @@
 
 		const connection = acquired.value;
 		const sentAtMs = timers.nowMs();
+		const endRequest = this.trackRequest();
 		const answer = await connection.run(command, timeoutMs);
+		endRequest();
 		if (answer.isErr()) {
 			this.recordFailure(sentAtMs);
 			this.pool.discard(connection);
--- a/packages/pooler/src/observability/definitions.ts
+++ b/packages/pooler/src/observability/definitions.ts
@@ -34,6 +34,7 @@
 	'request-refused',
 	'request-failed',
 	'request-retried',
+	'request-moved',
 	'session-refused',
 	'client-left',
 	'promotion-started',
--- a/packages/pooler/src/pool/connection-pool.ts
+++ b/packages/pooler/src/pool/connection-pool.ts
@@ -133,6 +133,15 @@
 		}
 	}
 
+	/** Fails the requests that wait for a connection, because the endpoint does not answer; control commands keep waiting. */
+	failWaiting(): void {
+		for (const waiter of this.#waiters.filter(({request}) => !request.canExceedShare)) {
+			this.#waiters.splice(this.#waiters.indexOf(waiter), 1);
+			waiter.expiry.cancel();
+			waiter.settle(failure('unreachable'));
+		}
+	}
+
 	/** Closes idle connections beyond the guaranteed share, and opens one if there is none. */
 	maintain(): void {
 		const nowMs = this.options.timers.nowMs();
--- a/packages/pooler/src/session/errors.ts
+++ b/packages/pooler/src/session/errors.ts
@@ -12,7 +12,7 @@
 
 export type FailureReason =
 	| 'unknown-database' | 'unknown-service' | 'malformed' | 'unknown-statement' | 'transaction-failed' | 'no-transaction'
-	| 'leader-unknown' | 'leader-stalled' | 'leadership-unproven' | 'position-unknown' | 'no-reader' | 'no-connection' | 'connection-lost'
+	| 'leader-unknown' | 'leader-stalled' | 'endpoint-unreachable' | 'not-reachable' | 'leadership-unproven' | 'position-unknown' | 'no-reader' | 'no-connection' | 'connection-lost'
 	| 'arrived-late' | 'endpoint-silent' | 'endpoint-error' | 'idle-in-transaction' | 'shutting-down' | 'interrupted' | 'internal-error';
 
 const failures: Record<FailureReason, {code: ErrorCode; text: string}> = {
@@ -24,6 +24,8 @@
 	'no-transaction': {code: 'malformed', text: 'no transaction is open; begin one first'},
 	'leader-unknown': {code: 'busy', text: 'the database has no primary at present; retry after 500 ms'},
 	'leader-stalled': {code: 'busy', text: 'the primary confirms no writes and no replica answers; retry after 1000 ms'},
+	'endpoint-unreachable': {code: 'busy', text: 'the instance cannot be reached at present; retry after 200 ms'},
+	'not-reachable': {code: 'busy', text: 'this host does not reach the instances at present; retry after 200 ms'},
 	'leadership-unproven': {code: 'busy', text: 'the primary may have been replaced; retry after 300 ms'},
 	'position-unknown': {code: 'busy', text: 'the state of the log is not known at present; retry after 300 ms'},
 	'no-reader': {code: 'busy', text: 'no instance can serve the read at present; retry after 200 ms'},
--- a/packages/pooler/src/session/local-executor.ts
+++ b/packages/pooler/src/session/local-executor.ts
@@ -27,6 +27,11 @@
 		});
 	}
 
+	/** Whether this host reaches the primary or, if that is not needed, enough members for a read. */
+	canServe(needsLeader: boolean): boolean {
+		return this.group.canServe(needsLeader, this.context.timers.nowMs());
+	}
+
 	logFields(): Record<string, string | number | undefined> {
 		const {leader, term} = this.group;
 		return {
--- a/packages/pooler/src/session/operation.ts
+++ b/packages/pooler/src/session/operation.ts
@@ -27,6 +27,8 @@
 	arrivedAtMs: number;
 	deadlineMs: number;
 	progress: OperationProgress;
+	/** Whether another host may run the statement; then it does not wait long for what this host may never reach. */
+	mayMove?: boolean;
 };
 
 /** Progress of a statement, for the log. Copies of an operation share the same object. */
@@ -50,14 +52,21 @@
 /** Subtracted from a route's staleness limit before the required position is determined, in ms. */
 const stalenessSafetyMarginMs = 50;
 
+/** How long a statement that may move to another host waits for a usable primary or a log position, in ms. Usual waits take less than 100 ms. */
+const maxWaitBeforeMoveMs = 400;
+
+/** Monotonic time until which the statement waits for a usable primary or a log position at this host. */
+const waitDeadlineMs = ({deadlineMs, mayMove}: LocalOperation, nowMs: number): number =>
+	mayMove ? Math.min(deadlineMs, nowMs + maxWaitBeforeMoveMs) : deadlineMs;
+
 /** Waits for the log position that a read must see under the route's consistency; `undefined` if it is not known by the deadline. */
 export async function awaitRequiredPosition(operation: LocalOperation, timers: TimerService): Promise<LogPosition | undefined> {
 	const {
-		route, group, session, arrivedAtMs, deadlineMs, progress,
+		route, group, session, arrivedAtMs, progress,
 	} = operation;
 	const startedMs = timers.nowMs();
 	const sinceMs = arrivedAtMs - Math.max(0, route.maxStalenessMs - stalenessSafetyMarginMs);
-	const commitBound = await group.awaitCommitBoundAt(sinceMs, deadlineMs);
+	const commitBound = await group.awaitCommitBoundAt(sinceMs, waitDeadlineMs(operation, startedMs));
 	progress.positionMs += timers.nowMs() - startedMs;
 	if (!commitBound) {
 		return undefined;
@@ -72,7 +81,9 @@
  * before the statement's deadline and clients retry only a few times. If no replica answers, none can be promoted,
  * and the statement is refused at once.
  */
-export async function awaitWritableLeader({group, deadlineMs}: LocalOperation, timers: TimerService): Promise<Result<Member, StatementFailure>> {
+export async function awaitWritableLeader(operation: LocalOperation, timers: TimerService): Promise<Result<Member, StatementFailure>> {
+	const {group} = operation;
+	const deadlineMs = waitDeadlineMs(operation, timers.nowMs());
 	for (;;) {
 		const {leader} = group;
 		const nowMs = timers.nowMs();
@@ -94,6 +105,11 @@
 	}
 }
 
+/** Waits for a proof that no promotion took effect before the statement arrived. */
+export async function proveLeadership(operation: LocalOperation, timers: TimerService): Promise<boolean> {
+	return operation.group.proveLeadership(operation.arrivedAtMs, waitDeadlineMs(operation, timers.nowMs()));
+}
+
 /** Acquires a connection to the primary, for writes, transactions and reads that must see every commit. */
 export async function acquireLeaderConnection(operation: LocalOperation, context: OperationContext): Promise<Result<HeldConnection, StatementFailure>> {
 	const leader = await awaitWritableLeader(operation, context.timers);
@@ -113,7 +129,7 @@
 				member.recordFailure(startedMs);
 			}
 
-			return statementFailure('no-connection');
+			return statementFailure(kind === 'unreachable' ? 'endpoint-unreachable' : 'no-connection');
 		});
 }
 
@@ -145,7 +161,9 @@
 /** Runs a command on a held connection and records the member's log position, latency or failure. */
 export async function runCommand(held: HeldConnection, command: EndpointCommand, timeoutMs: number, timers: TimerService): Promise<CommandResult> {
 	const sentAtMs = timers.nowMs();
+	const endRequest = held.member.trackRequest();
 	const answer = await held.connection.run(command, Math.max(1, timeoutMs));
+	endRequest();
 	if (answer.isErr()) {
 		held.member.recordFailure(sentAtMs);
 		return err(answer.error.kind);
--- a/packages/pooler/src/session/run-bounded-read.ts
+++ b/packages/pooler/src/session/run-bounded-read.ts
@@ -3,9 +3,10 @@
 import {type Group, type Member} from '../group/index.js';
 import {endpointFailure, statementFailure} from './errors.js';
 import {
-	acquireReaderConnection, discardConnection, type HeldConnection, type LocalOperation, type OperationContext, awaitRequiredPosition, runCommand, type CommandResult,
+	acquireReaderConnection, discardConnection, type HeldConnection, type LocalOperation, type OperationContext, awaitRequiredPosition, type CommandResult,
 } from './operation.js';
 import {prepareConnection} from './prepare-connection.js';
+import {runUnlessSilent} from './run-unless-silent.js';
 import {
 	type AttemptOutcome, retryDelayMs, finalOutcome, notRunOutcome, type SingleResult, type SingleStatement,
 } from './single-statement.js';
@@ -50,6 +51,10 @@
 		}
 
 		if (lastFailure.reason === 'no-reader') {
+			if (operation.mayMove && !operation.group.canServe(false, context.timers.nowMs())) {
+				break;
+			}
+
 			// Every member was tried; one that was busy or behind may be able to serve the read by now.
 			excluded.clear();
 
@@ -125,7 +130,7 @@
 	}
 
 	const startedMs = context.timers.nowMs();
-	const answer = await runCommand(held, {...statement.command, after: minPosition}, remainingMs(), context.timers);
+	const answer = await runUnlessSilent(held, {...statement.command, after: minPosition}, remainingMs(), context.timers);
 	context.metrics.recordStageDuration(operation.route.consistency, 'endpoint', context.timers.nowMs() - startedMs);
 	if (answer.isErr()) {
 		discardConnection(held, answer.error === 'silent');
--- a/packages/pooler/src/session/run-primary-read.ts
+++ b/packages/pooler/src/session/run-primary-read.ts
@@ -1,9 +1,10 @@
 import {err, ok} from 'neverthrow';
 import {statementFailure} from './errors.js';
 import {
-	acquireLeaderConnection, discardConnection, type LocalOperation, type OperationContext, runCommand,
+	acquireLeaderConnection, discardConnection, type LocalOperation, type OperationContext, proveLeadership,
 } from './operation.js';
 import {prepareConnection} from './prepare-connection.js';
+import {runUnlessSilent} from './run-unless-silent.js';
 import {
 	type AttemptOutcome, finalOutcome, notRunOutcome, handleEndpointError, retryWhileNotRun, rollBackAndRelease, type SingleResult, type SingleStatement,
 } from './single-statement.js';
@@ -24,7 +25,7 @@
 	}
 
 	const held = acquired.value;
-	if (!await operation.group.proveLeadership(operation.arrivedAtMs, operation.deadlineMs) || operation.group.leader !== held.member) {
+	if (!await proveLeadership(operation, context.timers) || operation.group.leader !== held.member) {
 		held.member.pool.release(held.connection);
 		return notRunOutcome(statementFailure('leadership-unproven'));
 	}
@@ -35,10 +36,10 @@
 		return notRunOutcome(statementFailure('no-reader'));
 	}
 
-	const begun = await runCommand(held, {kind: 'begin', readOnly: false}, remainingMs(), context.timers);
+	const begun = await runUnlessSilent(held, {kind: 'begin', readOnly: false}, remainingMs(), context.timers);
 	if (begun.isErr()) {
 		discardConnection(held, begun.error === 'silent');
-		return notRunOutcome(statementFailure('no-reader'));
+		return notRunOutcome(statementFailure(begun.error === 'silent' ? 'endpoint-unreachable' : 'no-reader'));
 	}
 
 	if (begun.value.error) {
@@ -46,10 +47,11 @@
 		return handleEndpointError(begun.value.error, held, statement, operation);
 	}
 
-	const answer = await runCommand(held, statement.command, remainingMs(), context.timers);
+	const answer = await runUnlessSilent(held, statement.command, remainingMs(), context.timers);
 	if (answer.isErr()) {
 		discardConnection(held, answer.error === 'silent');
-		return answer.error === 'lost' ? notRunOutcome(statementFailure('connection-lost')) : finalOutcome(err(statementFailure('endpoint-silent')));
+		// A read keeps nothing, so it may run again, at this host or at another one.
+		return notRunOutcome(statementFailure(answer.error === 'silent' ? 'endpoint-unreachable' : 'connection-lost'));
 	}
 
 	void rollBackAndRelease(held, context);
--- a/packages/pooler/src/session/single-statement.ts
+++ b/packages/pooler/src/session/single-statement.ts
@@ -20,8 +20,11 @@
 /** Outcome of one attempt: final, or known not to have run so that it can be retried. */
 export type AttemptOutcome = {kind: 'final'; result: SingleResult} | {kind: 'not-run'; failure: StatementFailure};
 
-/** Whether another attempt before the deadline would fail for the same reason. */
-const isRetryFutile = ({reason}: StatementFailure): boolean => reason === 'leader-unknown' || reason === 'leader-stalled' || reason === 'no-connection';
+const futileReasons: ReadonlySet<string> = new Set(['leader-unknown', 'leader-stalled', 'no-connection', 'endpoint-unreachable']);
+
+/** Whether another attempt before the deadline would fail for the same reason, or should be made at another host. */
+const isRetryFutile = ({reason}: StatementFailure, {mayMove}: LocalOperation): boolean =>
+	futileReasons.has(reason) || (mayMove === true && reason === 'leadership-unproven');
 
 export const finalOutcome = (result: SingleResult): AttemptOutcome => ({kind: 'final', result});
 export const notRunOutcome = (failure: StatementFailure): AttemptOutcome => ({kind: 'not-run', failure});
@@ -36,7 +39,7 @@
 		}
 
 		lastFailure = outcome.failure;
-		if (isRetryFutile(lastFailure)) {
+		if (isRetryFutile(lastFailure, operation)) {
 			break;
 		}
 
--- a/packages/pooler/src/session/transaction.ts
+++ b/packages/pooler/src/session/transaction.ts
@@ -4,10 +4,11 @@
 import {endpointFailure, statementFailure, type StatementFailure} from './errors.js';
 import {
 	acquireLeaderConnection, acquireReaderConnection, discardConnection, type HeldConnection, type LocalOperation,
-	type Operation, type OperationContext, awaitRequiredPosition, runCommitCommand, runCommand,
+	type Operation, type OperationContext, awaitRequiredPosition, proveLeadership, runCommitCommand, runCommand,
 } from './operation.js';
 import {type TransactionHandle} from './executor.js';
 import {prepareConnection} from './prepare-connection.js';
+import {runUnlessSilent} from './run-unless-silent.js';
 import {rollBackAndRelease, type SingleStatement} from './single-statement.js';
 import {type SessionState} from './session-state.js';
 
@@ -208,6 +209,11 @@
 				}
 
 				lastFailure = begun.error;
+				const isMoveDue = lastFailure.reason === 'endpoint-unreachable' || (operation.mayMove && lastFailure.reason === 'leadership-unproven');
+				if (!canUseReader && isMoveDue) {
+					break;
+				}
+
 				excluded.add(acquired.value.member.id);
 			}
 
@@ -222,7 +228,7 @@
 	async #beginOn(held: HeldConnection, command: Extract<EndpointCommand, {kind: 'begin'}>, operation: LocalOperation): Promise<Result<HeldConnection, StatementFailure>> {
 		const {context, session} = this.options;
 		const {group} = operation;
-		if (!command.after && (!await group.proveLeadership(operation.arrivedAtMs, operation.deadlineMs) || group.leader !== held.member)) {
+		if (!command.after && (!await proveLeadership(operation, context.timers) || group.leader !== held.member)) {
 			held.member.pool.release(held.connection);
 			return err(statementFailure('leadership-unproven'));
 		}
@@ -234,10 +240,10 @@
 			return err(statementFailure('no-reader'));
 		}
 
-		const answer = await runCommand(held, command, this.#remainingMs(operation), context.timers);
+		const answer = await runUnlessSilent(held, command, this.#remainingMs(operation), context.timers);
 		if (answer.isErr()) {
 			discardConnection(held, answer.error === 'silent');
-			return err(statementFailure('no-reader'));
+			return err(statementFailure(answer.error === 'silent' ? 'endpoint-unreachable' : 'no-reader'));
 		}
 
 		const {error} = answer.value;
--- a/packages/pooler/test/forward/forward.test.ts
+++ b/packages/pooler/test/forward/forward.test.ts
@@ -2,7 +2,7 @@
 import {ok} from 'neverthrow';
 import {test} from 'tap';
 import {
-	type Executor, type FleetHost, type ForwardReply, type ForwardRequest, ForwardService, HolderLink, type Operation, type PeerLink, createProgress, RemoteExecutor,
+	type FleetHost, type ForwardReply, type ForwardRequest, ForwardService, HolderLink, type LocalReach, type Operation, type PeerLink, createProgress, RemoteExecutor,
 	SessionState, statementFailure, type StatementResult,
 } from '../../src/index.js';
 import {MemoryEventLog} from '../fixtures/fake-endpoints.js';
@@ -81,6 +81,8 @@
 	service: ForwardService;
 	isHolder: boolean;
 	isReachable: boolean;
+	/** Whether the holder reaches the endpoints. */
+	canServe: boolean;
 	executedCommands: string[];
 	links: Array<MemoryLink<ForwardReply, ForwardRequest>>;
 	epoch: number;
@@ -94,11 +96,12 @@
 
 function createHolder(timers: ManualTimerService, name: string): Holder {
 	const holder: Partial<Holder> & Pick<Holder, 'executedCommands' | 'links'> = {
-		isHolder: true, isReachable: true, executedCommands: [], links: [], epoch: 0, answer: answerAtOnce, host: {
+		isHolder: true, isReachable: true, canServe: true, executedCommands: [], links: [], epoch: 0, answer: answerAtOnce, host: {
 			hostId: name, address: name, failureDomain: name, startedAtMs: 0,
 		},
 	};
-	const executor: Executor = {
+	const executor: LocalReach = {
+		canServe: () => holder.canServe!,
 		async runSingle(statement) {
 			holder.executedCommands.push(statement.command.kind);
 			return holder.answer!();
@@ -351,3 +354,55 @@
 	t.equal(signatureOrCode(await written), 'sig');
 	t.same([holders[0]!.executedCommands, holders[1]!.executedCommands], [[], ['write']]);
 });
+
+// Guards against a client that is told that its write may have run, although it was never sent.
+test('a write that no holder was reached for is refused as not run', async t => {
+	const {remote, operation, holders, timers} = createFleet();
+	for (const holder of holders) {
+		holder.isReachable = false;
+	}
+
+	const written = remote.runSingle(write, true, operation());
+	await timers.advanceAsync(3000, 100);
+	t.equal(signatureOrCode(await written), 'busy');
+	t.same(holders.map(({executedCommands}) => executedCommands), [[], []]);
+});
+
+// Guards against statements that wait at a holder which does not reach the endpoints while another one does, and against
+// asking that holder first again and again.
+test('a holder that does not reach the endpoints is passed over, and tried again later', async t => {
+	const {remote, operation, holders, timers} = createFleet();
+	holders[0]!.canServe = false;
+	t.equal(signatureOrCode(await remote.runSingle(write, true, operation())), 'sig');
+	t.equal(holders[0]!.links.length, 1);
+	const asked = () => holders[0]!.executedCommands.length;
+	holders[0]!.canServe = true;
+	await remote.runSingle(write, true, operation());
+	t.equal(asked(), 0, 'its refusal is remembered');
+	timers.advance(600);
+	await remote.runSingle(write, true, operation());
+	t.equal(asked(), 1, 'its refusal is forgotten');
+});
+
+// Guards against a failover during which every holder refuses, although one of them could wait for its end.
+test('if no holder reaches the endpoints, the last one that is asked waits for them', async t => {
+	const {remote, operation, holders} = createFleet();
+	for (const holder of holders) {
+		holder.canServe = false;
+	}
+
+	t.equal(signatureOrCode(await remote.runSingle(write, true, operation())), 'sig');
+	t.same(holders.map(({executedCommands}) => executedCommands), [[], ['write']]);
+});
+
+// Guards against a transaction that fails because it met a holder which does not reach the primary.
+test('a transaction begins at a holder that reaches the endpoints', async t => {
+	const {remote, operation, holders, session} = createFleet();
+	holders[0]!.canServe = false;
+	const transaction = remote.begin({
+		id: 't1', readOnly: false, session, beganAtMs: 0,
+	});
+	t.equal(signatureOrCode(await transaction.run(write, true, operation())), 'sig');
+	t.equal(signatureOrCode(await transaction.commit(operation())), 'sig');
+	t.same(holders.map(({executedCommands}) => executedCommands), [[], ['t1/write', 't1/commit']]);
+});
--- a/packages/pooler/test/group/group.test.ts
+++ b/packages/pooler/test/group/group.test.ts
@@ -120,3 +120,47 @@
 		'draining since before this process started': await acceptsForMs(Number.POSITIVE_INFINITY),
 	});
 });
+
+// Guards against statements that wait until their deadline at a host that a partition separates from the primary, or
+// from the members that a read needs, and against hosts that pass statements around although a member is only slow.
+test('whether the host reaches what a statement needs', async t => {
+	const fixture = await new GroupFixture().start();
+	const {group, timers} = fixture;
+	const reach = () => ({writes: group.canServe(true, timers.nowMs()), reads: group.canServe(false, timers.nowMs())});
+	t.same(reach(), {writes: true, reads: true});
+	const leader = group.members.get('p')!;
+	const end = leader.trackRequest();
+	await fixture.advance(300);
+	t.same(reach(), {writes: true, reads: true}, 'a statement of 300 ms');
+	fixture.primary.isReachable = false;
+	await fixture.advance(400);
+	t.same(reach(), {writes: false, reads: true}, 'no answer for 700 ms although a statement is pending');
+	fixture.replica(1).isReachable = false;
+	fixture.replica(2).isReachable = false;
+	await fixture.advance(3500);
+	t.same(reach(), {writes: false, reads: false}, 'no member answers');
+	end();
+	for (const fake of fixture.fakes.values()) {
+		fake.isReachable = true;
+	}
+
+	await fixture.advance(2500);
+	t.same(reach(), {writes: true, reads: true}, 'all members answer again');
+});
+
+// Guards against statements that wait in the pool of a member which does not answer, until their deadline.
+test('statements that wait for a connection to a silent member are refused, control commands are not', async t => {
+	const fixture = await new GroupFixture().start();
+	const leader = fixture.group.members.get('p')!;
+	const deadlineMs = fixture.timers.nowMs() + 5000;
+	const held = await Promise.all(Array.from({length: 3}, async () => leader.pool.acquire({priority: 1, deadlineMs})));
+	t.ok(held.every(acquired => acquired.isOk()));
+	fixture.primary.maxConnections = fixture.primary.connections;
+	const waiting = leader.pool.acquire({priority: 1, deadlineMs});
+	leader.trackRequest();
+	fixture.primary.isReachable = false;
+	const refusedAfterMs = fixture.timers.nowMs();
+	const refused = await fixture.advanceUntilSettled(waiting);
+	t.equal(refused.isErr() && refused.error.kind, 'unreachable');
+	t.ok(fixture.timers.nowMs() - refusedAfterMs < 700);
+});
