Ignore lists of hosts that are older than the one in force

The list of hosts is read with the cheap call that may be seconds old. A copy of the store that was behind brought back a host that had left, and it then counted as up for 50 s; it also hid hosts that had just started, which changes who holds connections. A host that restarted could begin with such a list.

Cause: lists were applied in the order of their arrival, and an entry of another version counted as news.

Ruled out: reading every list currently; it is not needed, since an old list only delays news by one interval.

Test: fleet.test.ts, with a store that answers with an old list; on the old code the departed host is back.

--- a/packages/pooler/src/fleet/fleet.ts
+++ b/packages/pooler/src/fleet/fleet.ts
@@ -21,8 +21,10 @@
 	startedAtMs: number;
 };
 
+const maxPort = 65_535;
+const addressSchema = z.string().regex(/^[^:\s]+:\d{1,5}$/).refine(address => Number(address.slice(address.lastIndexOf(':') + 1)) <= maxPort);
 const hostSchema = z.object({
-	hostId: z.string(), address: z.string(), failureDomain: z.string(), startedAtMs: z.number(),
+	hostId: z.string(), address: addressSchema, failureDomain: z.string(), startedAtMs: z.number(),
 });
 
 /** Interval at which a host rewrites its own entry. */
@@ -42,6 +44,8 @@
 	/** The latest version of each entry, and when this host first saw that version. */
 	readonly #entries = new Map<string, {version: number; versionSeenAtMs: number; host: FleetHost}>();
 	#ownVersion = 0;
+	/** Revision of the store that the newest applied list shows. */
+	#revision = 0;
 	#isStopped = false;
 	#isLoaded = false;
 
@@ -128,14 +132,21 @@
 			return;
 		}
 
-		const listed = await this.options.platform.list('hosts', {allowStale: true});
+		// A stale list may still show hosts that have left, so the first one must be current.
+		const listed = await this.options.platform.list('hosts', {allowStale: this.#isLoaded});
 		if (listed.isErr()) {
 			// Keeps the current list; the store client logs the failure.
 			this.#retryUntilLoaded();
 			return;
 		}
 
+		if (listed.value.revision < this.#revision) {
+			// Another copy of the store was behind: it would bring back hosts that have left and hide new ones.
+			return;
+		}
+
 		this.#isLoaded = true;
+		this.#revision = listed.value.revision;
 		const nowMs = this.options.timers.nowMs();
 		const names = new Set(listed.value.objects.map(({name}) => name));
 		for (const {name, version, value} of listed.value.objects) {
--- a/packages/pooler/test/fleet/fleet.test.ts
+++ b/packages/pooler/test/fleet/fleet.test.ts
@@ -56,3 +56,36 @@
 	await timers.advanceAsync(1000, 100);
 	t.ok(fleet.isLoaded);
 });
+
+// Guards against a host that has left and is used again, or a new one that is forgotten, because a stale list was behind
+// the one before. Hosts that came back counted as up for 50 s more.
+test('a list that is older than the one in force is ignored', async t => {
+	const [platform, timers] = [new MemoryPlatform(), new ManualTimerService()];
+	const events = new MemoryEventLog();
+	const fleet = new Fleet({
+		platform, timers, events, self: createHost('a'),
+	});
+	fleet.start();
+	await timers.advanceAsync(10, 10);
+	const leaving = await startFleet(platform, timers, 'b');
+	await timers.advanceAsync(6000, 100);
+	t.same(hostIds(fleet), ['a', 'b']);
+	const stale = await platform.list('hosts');
+	await leaving.deregister();
+	await startFleet(platform, timers, 'c');
+	await timers.advanceAsync(6000, 100);
+	t.same(hostIds(fleet), ['a', 'c']);
+	const list = platform.list.bind(platform);
+	const staleness: Array<boolean | undefined> = [];
+	platform.list = (kind, options?: {allowStale: boolean}) => {
+		staleness.push(options?.allowStale);
+		return options?.allowStale ? list(kind).map(() => stale._unsafeUnwrap()) : list(kind);
+	};
+
+	await timers.advanceAsync(6000, 100);
+	t.same(hostIds(fleet), ['a', 'c'], 'the running host keeps its list');
+	const restarted = await startFleet(platform, timers, 'd');
+	t.same(hostIds(restarted), ['a', 'c', 'd'], 'a host that starts reads a current list');
+	t.same(staleness.at(-1), false);
+	t.same(events.eventsNamed('host-appeared').map(({peerId}) => peerId), ['a', 'b', 'c']);
+});
