--- a/packages/coordination/src/group/core/promote-primary.ts
+++ b/packages/coordination/src/group/core/promote-primary.ts
@@ -28,9 +28,9 @@
 	/** Members to choose only if no other member is equally advanced, e.g. members that are leaving. */
 	avoidedMemberIds: readonly string[];
 	/**
-	 * Members left out of the fencing step, so that they neither count towards the majority nor can be chosen. A
-	 * primary that is partitioned from its group but reachable from the promoter has the longest log and would
-	 * be chosen again.
+	 * Members that get no fence command, neither count towards the majority nor can be chosen. A primary that is
+	 * partitioned from its group but reachable from the promoter has the longest log and would be chosen again. It
+	 * acknowledges nothing more, because a majority of the others is fenced.
 	 */
 	excludedMemberIds: readonly string[];
 };
--- a/packages/coordination/src/group/definitions.ts
+++ b/packages/coordination/src/group/definitions.ts
@@ -28,7 +28,10 @@
 	database: string;
 	members: GroupMember[];
 	term: number;
-	/** Member id of the primary of the term; while `fencing`, of the primary recorded last in an earlier term. */
+	/**
+	 * Member id of the primary of the term. While `fencing` there is none yet: it is the one recorded last in an earlier
+	 * term, which may never have served.
+	 */
 	primary: string;
 	phase: GroupPhase;
 	/** Identifies the update that wrote this value, so that a promoter whose response was lost recognizes its own update. */
--- a/packages/coordination/test/group/promote-primary.test.ts
+++ b/packages/coordination/test/group/promote-primary.test.ts
@@ -226,3 +226,29 @@
 		t.ok(laterTermRuns > numRuns / 10, 'enough runs reach a later term');
 	});
 }
+
+// Guards against a promotion that fences or chooses an isolated primary, whose log is the longest, and against a record
+// that names a primary which no promoter has chosen in the term.
+test('P2: an excluded primary gets no fence, and the record names it until another one is chosen', async t => {
+	const group = new FakeGroup([5, 3, 3]);
+	const fencedMembers: string[] = [];
+	const recorded: unknown[] = [];
+	const result = await promote(group, 'first', async (step, timing, memberId) => {
+		if (step === 'fence' && timing === 'before') {
+			fencedMembers.push(memberId);
+		}
+
+		if ((step === 'fencing' || step === 'promoting') && timing === 'after') {
+			const object = await group.platform.get('groups', 'ledger');
+			const {phase, primary} = object._unsafeUnwrap().value as {phase: string; primary: string};
+			recorded.push({phase, primary});
+		}
+
+		return undefined;
+	}, {excludedMemberIds: ['a']});
+	t.equal(outcomeOf(result), 'b in term 2');
+	t.same(fencedMembers, ['b', 'c']);
+	t.same(recorded, [{phase: 'fencing', primary: 'a'}, {phase: 'promoting', primary: 'b'}]);
+	group.writeAndReplicate();
+	t.same(group.violations(), []);
+});
--- a/packages/load/src/checker/definitions.ts
+++ b/packages/load/src/checker/definitions.ts
@@ -54,7 +54,10 @@
 	total: number;
 	/** Requests that an earlier attempt had executed: a retry returned the recorded answer. */
 	resolvedRun: number;
-	/** Requests that no earlier attempt had executed: a retry executed them. */
+	/**
+	 * Requests that no earlier attempt had executed: a retry executed them, by its own answer. If an earlier attempt ran as
+	 * well, the log has the write twice, which is counted as a doubled write.
+	 */
 	resolvedNotRun: number;
 	unresolved: number;
 };
--- a/packages/load/test/checker/check-history.test.ts
+++ b/packages/load/test/checker/check-history.test.ts
@@ -171,6 +171,18 @@
 			},
 		},
 	},
+	{
+		name: 'a write that a retry ran again after an unknown attempt had run is doubled',
+		history: [hold({outcome: 'unknown'}), hold()],
+		finalState: createFinalState([loggedHold, loggedHold]),
+		expected: {
+			acknowledgedWrites: 1,
+			doubledWrites: 1,
+			unknownOutcomes: {
+				total: 1, resolvedRun: 0, resolvedNotRun: 1, unresolved: 0,
+			},
+		},
+	},
 	{
 		name: 'an answer with the row of another request',
 		history: [read([held], {parameters: ['b2']})], finalState: createFinalState([loggedHold]), expected: {acknowledgedWrites: 0, mixedAnswers: 1},
--- a/packages/pooler/src/daemon/pooler.ts
+++ b/packages/pooler/src/daemon/pooler.ts
@@ -101,7 +101,8 @@
 
 	/**
 	 * Whether statements can be served: the catalog and the fleet are loaded and, if this host holds connections, at
-	 * least one of their endpoints has reported its status.
+	 * least one endpoint of any service has reported its status. Not one of each service: a service whose endpoints are
+	 * all down must not take the hosts out of rotation for the others.
 	 */
 	get isReady(): boolean {
 		const isHolder = this.#groups.size > 0;
--- a/packages/pooler/src/routing/choose-reader.ts
+++ b/packages/pooler/src/routing/choose-reader.ts
@@ -17,7 +17,7 @@
 const crossDomainCostFactor = 1.1;
 /** A replica that was last seen lagging is a candidate again when that observation is older than this, in ms. */
 const laggingRecheckMs = 150;
-/** A member that has not answered for this long gets no reads, in ms. */
+/** A member that has not answered for this long gets no reads until it answers a status request, even if no other one is left, in ms. */
 const maxFailingMs = 300;
 
 /**
--- a/packages/pooler/test/routing/choose-reader.test.ts
+++ b/packages/pooler/test/routing/choose-reader.test.ts
@@ -31,3 +31,16 @@
 	await fixture.timers.advanceAsync(50);
 	t.equal(chooseReader({...readerRequest(fixture, 10), nowMs: fixture.timers.nowMs() + 400})?.id, 'p');
 });
+
+// Guards against reads that wait for a member which does not answer because no other one is left.
+test('no member is chosen while none answers, and one is again after its next answer', async t => {
+	const fixture = await new GroupFixture().start();
+	const failedAtMs = fixture.timers.nowMs();
+	for (const member of fixture.group.members.values()) {
+		member.recordFailure(failedAtMs + 1);
+	}
+
+	t.equal(chooseReader({...readerRequest(fixture, 10), nowMs: failedAtMs + 302}), undefined);
+	fixture.group.members.get('r1')!.recordAnswer({term: 1, index: 10});
+	t.equal(chooseReader({...readerRequest(fixture, 10), nowMs: failedAtMs + 302})?.id, 'r1');
+});
