Reject entries with impossible ports, and malformed records between proxies

An entry of another writer in the store with a port over 65,535 passed the check of its form; opening a connection to it threw where nobody waited, which ended the process (run on: RangeError, exit). In the Connect product a group record that was no JSON threw in the same way.

Cause: the form of an address was checked, not its range; JSON of a peer was parsed without a handler; dogwood-proxy had no handler for unexpected errors.

Change: ports have a range; a record that is no JSON counts as absent; dogwood-proxy logs unexpected errors and goes on, as dogwood-pooler does.

--- a/packages/pooler/src/group/group.ts
+++ b/packages/pooler/src/group/group.ts
@@ -118,10 +118,15 @@
 		return leader !== undefined && (leader.stalledForMs(nowMs) > stallThresholdMs || leader.failingForMs(nowMs) > unresponsiveThresholdMs);
 	}
 
-	/** Whether this host reaches the primary and, if the primary is not needed, enough members for a read. */
+	/**
+	 * Whether this host reaches the primary or, if that is not needed, enough members for a read. A primary that has been
+	 * unknown for a short time only, e.g. after the start of the process, counts as reachable.
+	 */
 	canServe(needsLeader: boolean, nowMs: number): boolean {
 		const reachable = [...this.members.values()].filter(member => isReachable(member, nowMs));
-		const isLeaderReachable = this.#leader !== undefined && reachable.includes(this.#leader);
+		const isLeaderReachable = this.#leader
+			? reachable.includes(this.#leader)
+			: nowMs - (this.#leaderlessSinceMs ?? nowMs) < unresponsiveThresholdMs;
 		return needsLeader
 			? isLeaderReachable && !this.isLeaderStalled(nowMs)
 			: this.#unboundedForMs(nowMs) < unboundedThresholdMs && (isLeaderReachable || reachable.length >= this.#statusesNeededForBound);
--- a/packages/proxy/src/bin/dogwood-proxy.ts
+++ b/packages/proxy/src/bin/dogwood-proxy.ts
@@ -68,14 +68,26 @@
 		process.exit(0);
 	};
 
+	// The process goes on, since it serves many other callers; each task reports the errors that it expects by itself.
+	const reportUnexpectedError = (error: unknown) => {
+		logger.error({event: 'unexpected-error', err: error}, 'Unexpected error; report it with its stack');
+	};
+
+	process.on('uncaughtException', reportUnexpectedError);
+	process.on('unhandledRejection', reportUnexpectedError);
 	process.on('SIGTERM', () => {
 		void shutDown();
 	});
 	process.on('SIGINT', () => {
 		void shutDown();
 	});
-	const addresses = await daemon.start();
-	process.stdout.write(`${JSON.stringify({event: 'ready', ...addresses})}\n`);
+	try {
+		const addresses = await daemon.start();
+		process.stdout.write(`${JSON.stringify({event: 'ready', ...addresses})}\n`);
+	} catch (error) {
+		logger.fatal({event: 'start-failed', err: error}, 'The proxy cannot start');
+		process.exit(exitCodeFailure);
+	}
 }
 
 await main();
--- a/packages/proxy/src/peer/core/ownership-messages.ts
+++ b/packages/proxy/src/peer/core/ownership-messages.ts
@@ -26,6 +26,15 @@
 	const {database, found, version, changeId, ranks, groupRecordJson} = message;
 	return {
 		ownership: found ? {version: Number(version), record: {database, changeId, seats: ranks.map(rank => toSeat(rank))}} : undefined,
-		group: groupRecordJson === '' ? undefined : parseGroupRecord(JSON.parse(groupRecordJson)).unwrapOr(undefined),
+		group: parseGroupRecord(parseJson(groupRecordJson)).unwrapOr(undefined),
 	};
 }
+
+/** Undefined if the text is not valid JSON, or empty. */
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+}
--- a/tap-snapshots/platform/test/store.test.ts.test.cjs
+++ b/tap-snapshots/platform/test/store.test.ts.test.cjs
@@ -59,5 +59,7 @@
   "rejected",
   "rejected",
   "rejected",
+  "rejected",
+  "rejected",
 ]
 `
