Roll back a transaction whose commit its holder refused as late

Callers were told the truth (not run); but the holder kept the transaction, its connection and its locks until it had been idle for 7 s, while other statements waited for connections. Cause: the end of the session sends no abort for a transaction that has committed, and a refused commit counted as committed. Ruled out: ending it at the holder when it refuses, since the same refusal is answered by a second sending of the same commit. Test: forward.test.ts; on the code before, the holder saw no abort.

--- a/packages/pooler/src/forward/remote-executor.ts
+++ b/packages/pooler/src/forward/remote-executor.ts
@@ -263,6 +263,11 @@
 			return err(this.#hasWritten ? statementFailure('connection-lost') : statementFailure('transaction-failed'));
 		}
 
+		if (isRefusal(callResult.result)) {
+			// The holder did not run the commit, so the transaction is still open there.
+			link.abort(this.transactionNumber);
+		}
+
 		return recordWrite(callResult.result, this.#hasWritten, operation);
 	}
 
--- a/packages/pooler/test/forward/forward.test.ts
+++ b/packages/pooler/test/forward/forward.test.ts
@@ -406,3 +406,21 @@
 	t.equal(signatureOrCode(await transaction.commit(operation())), 'sig');
 	t.same(holders.map(({executedCommands}) => executedCommands), [[], ['t1/write', 't1/commit']]);
 });
+
+// Guards against a transaction that keeps a connection and its locks at the holder until it has been idle for seconds,
+// after its commit was refused there.
+test('a transaction whose commit the holder refused as late is rolled back there', async t => {
+	const {remote, operation, holders, session} = createFleet();
+	const transaction = remote.begin({
+		id: 't1', readOnly: false, session, beganAtMs: 0,
+	});
+	await transaction.run(write, true, operation());
+	const [far] = holders[0]!.links;
+	far!.peer.isDelayingSends = true;
+	const commit = transaction.commit(operation());
+	// Each arrival finds a new epoch of the holder's clock, so the second sending is refused as well.
+	Object.defineProperty(holders[0], 'epoch', {get: () => Math.random()});
+	far!.peer.releaseDelayed();
+	t.equal(signatureOrCode(await commit), 'busy');
+	t.same(holders[0]!.executedCommands, ['t1/write', 't1/abort']);
+});
