--- a/packages/pooler/src/fleet/fleet.ts
+++ b/packages/pooler/src/fleet/fleet.ts
@@ -1,6 +1,6 @@
 import {type Platform, type TimerService} from '@dogwoodthread/coordination';
 import * as z from 'zod';
-import {type EventLog} from '../observability/index.js';
+import {type EventLog, guardTask} from '../observability/index.js';
 
 export type FleetOptions = {
 	platform: Platform;
@@ -21,8 +21,10 @@
 	startedAtMs: number;
 };
 
+const maxPort = 65_535;
+const addressSchema = z.string().regex(/^[^:\s]+:\d{1,5}$/).refine(address => Number(address.slice(address.lastIndexOf(':') + 1)) <= maxPort);
 const hostSchema = z.object({
-	hostId: z.string(), address: z.string(), failureDomain: z.string(), startedAtMs: z.number(),
+	hostId: z.string(), address: addressSchema, failureDomain: z.string(), startedAtMs: z.number(),
 });
 
 /** Interval at which a host rewrites its own entry. */
@@ -42,6 +44,8 @@
 	/** The latest version of each entry, and when this host first saw that version. */
 	readonly #entries = new Map<string, {version: number; versionSeenAtMs: number; host: FleetHost}>();
 	#ownVersion = 0;
+	/** Revision of the store that the newest applied list shows. */
+	#revision = 0;
 	#isStopped = false;
 	#isLoaded = false;
 
@@ -59,15 +63,15 @@
 	}
 
 	start(): void {
-		void this.#register();
+		this.#guard(async () => this.#register());
 		for (const delayMs of startupRefreshDelaysMs) {
 			this.options.timers.after(delayMs, () => {
-				void this.#refresh();
+				this.#guard(async () => this.#refresh());
 			});
 		}
 
 		this.options.timers.every(refreshIntervalMs, () => {
-			void this.#refresh();
+			this.#guard(async () => this.#refresh());
 		});
 	}
 
@@ -77,6 +81,10 @@
 		await this.options.platform.remove('hosts', this.options.self.hostId, this.#ownVersion);
 	}
 
+	#guard(run: () => Promise<void>): void {
+		void guardTask('fleet', this.options.events, run);
+	}
+
 	async #register(): Promise<void> {
 		await this.#sendHeartbeat();
 		await this.#refresh();
@@ -99,7 +107,7 @@
 		}
 
 		timers.after(delayMs, () => {
-			void this.#sendHeartbeat();
+			this.#guard(async () => this.#sendHeartbeat());
 		});
 	}
 
@@ -114,7 +122,7 @@
 	#retryUntilLoaded(): void {
 		if (!this.#isLoaded) {
 			this.options.timers.after(retryDelayMs, () => {
-				void this.#refresh();
+				this.#guard(async () => this.#refresh());
 			});
 		}
 	}
@@ -124,14 +132,21 @@
 			return;
 		}
 
-		const listed = await this.options.platform.list('hosts', {allowStale: true});
+		// A stale list may still show hosts that have left, so the first one must be current.
+		const listed = await this.options.platform.list('hosts', {allowStale: this.#isLoaded});
 		if (listed.isErr()) {
 			// Keeps the current list; the store client logs the failure.
 			this.#retryUntilLoaded();
 			return;
 		}
 
+		if (listed.value.revision < this.#revision) {
+			// Another copy of the store was behind: it would bring back hosts that have left and hide new ones.
+			return;
+		}
+
 		this.#isLoaded = true;
+		this.#revision = listed.value.revision;
 		const nowMs = this.options.timers.nowMs();
 		const names = new Set(listed.value.objects.map(({name}) => name));
 		for (const {name, version, value} of listed.value.objects) {
--- a/packages/pooler/src/session/errors.ts
+++ b/packages/pooler/src/session/errors.ts
@@ -12,8 +12,8 @@
 
 export type FailureReason =
 	| 'unknown-database' | 'unknown-service' | 'malformed' | 'unknown-statement' | 'transaction-failed' | 'no-transaction'
-	| 'leader-unknown' | 'leader-stalled' | 'leadership-unproven' | 'position-unknown' | 'no-reader' | 'no-connection' | 'connection-lost'
-	| 'arrived-late' | 'endpoint-silent' | 'endpoint-error' | 'idle-in-transaction' | 'shutting-down';
+	| 'leader-unknown' | 'leader-stalled' | 'endpoint-unreachable' | 'not-reachable' | 'leadership-unproven' | 'position-unknown' | 'no-reader' | 'no-connection' | 'connection-lost'
+	| 'arrived-late' | 'endpoint-silent' | 'endpoint-error' | 'idle-in-transaction' | 'shutting-down' | 'interrupted' | 'internal-error';
 
 const failures: Record<FailureReason, {code: ErrorCode; text: string}> = {
 	'unknown-database': {code: 'unknown-database', text: 'no database of this name is configured; check the name'},
@@ -24,6 +24,8 @@
 	'no-transaction': {code: 'malformed', text: 'no transaction is open; begin one first'},
 	'leader-unknown': {code: 'busy', text: 'the database has no primary at present; retry after 500 ms'},
 	'leader-stalled': {code: 'busy', text: 'the primary confirms no writes and no replica answers; retry after 1000 ms'},
+	'endpoint-unreachable': {code: 'busy', text: 'the instance cannot be reached at present; retry after 200 ms'},
+	'not-reachable': {code: 'busy', text: 'this host does not reach the instances at present; retry after 200 ms'},
 	'leadership-unproven': {code: 'busy', text: 'the primary may have been replaced; retry after 300 ms'},
 	'position-unknown': {code: 'busy', text: 'the state of the log is not known at present; retry after 300 ms'},
 	'no-reader': {code: 'busy', text: 'no instance can serve the read at present; retry after 200 ms'},
@@ -34,6 +36,8 @@
 	'endpoint-error': {code: 'failed', text: 'the instance refused the statement'},
 	'idle-in-transaction': {code: 'aborted', text: 'the transaction was idle for too long and was rolled back; repeat it'},
 	'shutting-down': {code: 'aborted', text: 'this host is stopping and rolled the transaction back; repeat it on a new connection'},
+	interrupted: {code: 'in-doubt', text: 'this host stopped before the instance had answered; read back on a new connection before repeating'},
+	'internal-error': {code: 'in-doubt', text: 'the statement met an unexpected error and this connection is closed; read back before repeating'},
 };
 
 export const statementFailure = (reason: FailureReason): StatementFailure => ({reason, ...failures[reason]});
