Log the generation of the platform's store

The logs have revisions, but after a restore from a backup the store issues them again, so that a line does not tell in which history a host read. No decision depends on it yet.

--- a/packages/ctl/src/commands/explain/domain/explain-request.ts
+++ b/packages/ctl/src/commands/explain/domain/explain-request.ts
@@ -25,6 +25,7 @@
 	'dependency-restored',
 	'clock-discontinuity',
 	'connection-share-changed',
+	'store-restored',
 	'watch-lost',
 	'watch-restored',
 	'configuration-applied',
--- a/packages/pooler/src/catalog/change-follower.ts
+++ b/packages/pooler/src/catalog/change-follower.ts
@@ -1,6 +1,7 @@
 import {type TimerService} from '@dogwoodthread/coordination';
 import {err, type Result} from 'neverthrow';
 import {errorFields, type EventLog} from '../observability/index.js';
+import {type StoreHistory} from '../store-history/index.js';
 import {type CatalogPart} from './definitions.js';
 import {type WatchTiming} from './watch-timing.js';
 
@@ -34,6 +35,7 @@
 export type ChangeFollowerOptions<Change> = {
 	part: CatalogPart;
 	feed: ChangeFeed<Change>;
+	history: StoreHistory;
 	/** Timing of the watches, except after a failed call. */
 	timing: WatchTiming;
 	timers: TimerService;
@@ -107,7 +109,9 @@
 		const timing = this.#isWatchLost ? immediateTiming : this.options.timing;
 		const startedMs = timers.nowMs();
 		const answer = revision === undefined ? await feed.list() : await feed.watch(revision, timing);
-		this.#logAvailability(answer, {waitMs: revision === undefined ? 0 : timing.waitMs, openMs: Math.round(timers.nowMs() - startedMs)});
+		this.#logAvailability(answer, {
+			revision, waitMs: revision === undefined ? 0 : timing.waitMs, openMs: Math.round(timers.nowMs() - startedMs), storeGeneration: this.options.history.generation,
+		});
 		if (answer.isErr()) {
 			this.#revision = answer.error.kind === 'history-gone' ? undefined : revision;
 			return answer.map(() => 0);
@@ -127,7 +131,7 @@
 	}
 
 	/** Logs each failed call, and the first answer after it. */
-	#logAvailability(answer: Result<unknown, ChangeFeedError>, call: {waitMs: number; openMs: number}): void {
+	#logAvailability(answer: Result<unknown, ChangeFeedError>, call: {revision: number | undefined; waitMs: number; openMs: number; storeGeneration: number}): void {
 		const {events, timers, part} = this.options;
 		const unconfirmedMs = Math.round(timers.nowMs() - this.#confirmedAtMs);
 		if (answer.isErr()) {
--- a/packages/pooler/src/index.ts
+++ b/packages/pooler/src/index.ts
@@ -11,3 +11,4 @@
 export * from './routing/index.js';
 export * from './session/index.js';
 export * from './statement/index.js';
+export * from './store-history/index.js';
--- a/packages/pooler/src/observability/definitions.ts
+++ b/packages/pooler/src/observability/definitions.ts
@@ -16,6 +16,8 @@
 	'dependency-restored',
 	'watch-lost',
 	'watch-restored',
+	'store-identified',
+	'store-restored',
 	'store-object-rejected',
 	'configuration-applied',
 	'configuration-rejected',
--- a/packages/pooler/src/observability/rate-limited-event-log.ts
+++ b/packages/pooler/src/observability/rate-limited-event-log.ts
@@ -19,6 +19,7 @@
 const warningEvents: ReadonlySet<EventName> = new Set([
 	'dependency-lost',
 	'watch-lost',
+	'store-restored',
 	'store-object-rejected',
 	'configuration-rejected',
 	'endpoint-entry-rejected',
--- /dev/null
+++ b/packages/pooler/src/store-history/store-history.ts
@@ -0,0 +1,60 @@
+import {type TimerService} from '@dogwoodthread/coordination';
+import {type EventLog} from '../observability/index.js';
+
+type Subscriber = () => void;
+
+export type StoreHistoryOptions = {
+	timers: TimerService;
+	events: EventLog;
+};
+
+/**
+ * Which history of the platform's store is current. A store that is restored from a backup loses its latest writes and
+ * issues their revisions again; it then continues with the next generation.
+ */
+export class StoreHistory {
+	#generation: number | undefined;
+	#knownSinceMs: number;
+	readonly #subscribers: Subscriber[] = [];
+
+	constructor(private readonly options: StoreHistoryOptions) {
+		this.#knownSinceMs = options.timers.nowMs();
+	}
+
+	/** Newest generation that an answer of the store has shown; 0 before the first one, or if the store does not report it. */
+	get generation(): number {
+		return this.#generation ?? 0;
+	}
+
+	/** How long this host has known the current generation, in ms: a lower bound of the time since the last restore. */
+	knownForMs(nowMs: number): number {
+		return nowMs - this.#knownSinceMs;
+	}
+
+	/** Calls `subscriber` after each restore. */
+	subscribe(subscriber: Subscriber): void {
+		this.#subscribers.push(subscriber);
+	}
+
+	/** Records the generation that an answer shows. Answers may arrive out of order, so an older one changes nothing. */
+	observe(generation: number): void {
+		if (generation <= (this.#generation ?? -1)) {
+			return;
+		}
+
+		const {timers, events} = this.options;
+		const previous = this.#generation;
+		const nowMs = timers.nowMs();
+		const previouslyKnownForMs = Math.round(this.knownForMs(nowMs));
+		this.#generation = generation;
+		this.#knownSinceMs = nowMs;
+		events.write(previous === undefined ? 'store-identified' : 'store-restored', {generation, from: previous, previouslyKnownForMs});
+		if (previous === undefined) {
+			return;
+		}
+
+		for (const subscriber of this.#subscribers) {
+			subscriber();
+		}
+	}
+}
--- a/packages/pooler/test/catalog/change-follower.test.ts
+++ b/packages/pooler/test/catalog/change-follower.test.ts
@@ -2,7 +2,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {test} from 'tap';
 import {
-	type ChangeBatch, type ChangeFeed, type ChangeFeedError, ChangeFollower, endpointWatchTiming, watchTiming, type WatchTiming,
+	type ChangeBatch, type ChangeFeed, type ChangeFeedError, ChangeFollower, endpointWatchTiming, StoreHistory, watchTiming, type WatchTiming,
 } from '../../src/index.js';
 
 type TimeRange = {fromMs: number; untilMs: number};
@@ -84,7 +84,7 @@
 	};
 
 	const follower = new ChangeFollower({
-		part: 'configuration', feed, timing: watchTiming(boundMs), timers, events: {write: () => undefined}, onList: apply, onChanges: apply, onConfirmed: () => undefined,
+		part: 'configuration', feed, history: createHistory(timers), timing: watchTiming(boundMs), timers, events: {write: () => undefined}, onList: apply, onChanges: apply, onConfirmed: () => undefined,
 	});
 	void follower.run();
 	await timers.advanceAsync(changeAtMs, 10);
@@ -94,6 +94,8 @@
 	return appliedAtMs - changeAtMs;
 }
 
+const createHistory = (timers: ManualTimerService) => new StoreHistory({timers, events: {write: () => undefined}});
+
 const boundMs = 3000;
 const range = (from: number, to: number, step: number) => Array.from({length: Math.floor((to - from) / step) + 1}, (_, index) => from + (index * step));
 
@@ -124,7 +126,7 @@
 	const timers = new ManualTimerService();
 	const feed = new SilentFeed(timers, {fromMs: 0, untilMs: 60_000});
 	const follower = new ChangeFollower({
-		part: 'endpoints', feed, timing: watchTiming(boundMs), timers, events: {write: () => undefined}, onList: () => undefined, onChanges: () => undefined, onConfirmed: () => undefined,
+		part: 'endpoints', feed, history: createHistory(timers), timing: watchTiming(boundMs), timers, events: {write: () => undefined}, onList: () => undefined, onChanges: () => undefined, onConfirmed: () => undefined,
 	});
 	void follower.run();
 	await timers.advanceAsync(60_000, 10);
