Wait for a lease that a restore of the store has lost, and never repeat a token

By reading, two hosts could also hold the lease at the same time: the second finds none while the first acts on the one that was lost for up to 4 s more.

Tokens now start above all of earlier generations (the generation is their high part), which needs no memory of the lost ones. The lease states its generation. Without one of the current generation, a host takes it only after it has known the generation for as long as a lease can last, 5 s; the last holder has no right to act by then. A write that met a restore between its read and its answer does not acquire it. A holder goes on with a lost lease until it expires, since everybody else waits for that. LostWriteRecovery renews the lease once in each generation, so that a promotion long after a restore, or after a restart of all hosts, does not wait.

--- a/packages/pooler/src/daemon/pooler.ts
+++ b/packages/pooler/src/daemon/pooler.ts
@@ -6,7 +6,7 @@
 } from '../catalog/index.js';
 import {type EndpointConnector} from '../endpoint/index.js';
 import {
-	PromotionLease, FailoverDriver, type PromotionService, PromotionRecordStore,
+	PromotionLease, FailoverDriver, LostWriteRecovery, type PromotionService, PromotionRecordStore,
 } from '../failover/index.js';
 import {
 	Fleet, type FleetHost, type HolderPlan, planHolders,
@@ -18,12 +18,14 @@
 import {type EventLog, type PoolerMetrics} from '../observability/index.js';
 import {ConnectionPool} from '../pool/index.js';
 import {type Executor, LocalExecutor, Session} from '../session/index.js';
+import {type StoreHistory} from '../store-history/index.js';
 
 export type PoolerOptions = {
 	self: FleetHost;
 	catalogSource: CatalogSource;
 	connector: EndpointConnector;
 	platform: Platform;
+	history: StoreHistory;
 	promotionService: PromotionService;
 	peerConnector: PeerConnector;
 	/** Time after an acknowledged notice that an endpoint is leaving, at the end of which no statement may reach it any more. */
@@ -59,11 +61,12 @@
 	readonly #promotionRecords: PromotionRecordStore;
 	readonly #fleet: Fleet;
 	readonly #failover: FailoverDriver;
+	readonly #lostWriteRecovery: LostWriteRecovery;
 	readonly #hedgeBudget = new RetryBudget({ratio: hedgeRatio, burst: hedgeBurst});
 
 	constructor(private readonly options: PoolerOptions) {
 		const {
-			timers, events, platform, promotionService, self, metrics,
+			timers, events, platform, history, promotionService, self, metrics, random,
 		} = options;
 		this.#clock = new ClockDiscontinuityDetector(timers, jumpMs => {
 			events.write('clock-discontinuity', {jumpMs: Math.round(jumpMs)});
@@ -81,10 +84,14 @@
 			executorOf: service => this.#executors.get(service)?.local,
 		});
 		this.#promotionRecords = new PromotionRecordStore(platform);
+		const lease = new PromotionLease({
+			platform, history, timers, clock: this.#clock, events, hostId: self.hostId,
+		});
+		this.#lostWriteRecovery = new LostWriteRecovery({
+			history, lease, timers, events, random,
+		});
 		this.#failover = new FailoverDriver({
-			lease: new PromotionLease({
-				platform, timers, clock: this.#clock, events, hostId: self.hostId,
-			}),
+			lease,
 			promotionService,
 			promotionRecords: this.#promotionRecords,
 			timers,
@@ -119,11 +126,13 @@
 		this.options.catalogSource.start(this.catalog);
 		this.#fleet.start();
 		this.#failover.start();
+		this.#lostWriteRecovery.start();
 	}
 
 	/** Stops failover duties and releases this host's share of the connections; statements in progress continue. */
 	async beginShutdown(): Promise<void> {
 		this.#failover.stop();
+		this.#lostWriteRecovery.stop();
 		this.#forwardService.announceLeaving();
 		await this.#fleet.deregister();
 	}
--- a/packages/pooler/src/failover/index.ts
+++ b/packages/pooler/src/failover/index.ts
@@ -1,6 +1,9 @@
 /** Detection of failed or draining primaries, and their replacement. */
-export {PromotionLease, type PromotionLeaseOptions, type HeldLease} from './promotion-lease.js';
+export {
+	leaseExpiryMs, PromotionLease, type PromotionLeaseOptions, type HeldLease,
+} from './promotion-lease.js';
 export {FailoverDriver, type FailoverDriverOptions} from './failover-driver.js';
+export {LostWriteRecovery, type LostWriteRecoveryOptions} from './lost-write-recovery.js';
 export {OrphanedFenceDetector} from './orphaned-fence-detector.js';
 export {detectionMs, failoverReason} from './failover-reason.js';
 export {ReplaceLeader, type ReplaceLeaderOptions} from './replace-leader.js';
--- a/packages/pooler/src/store-history/store-history.ts
+++ b/packages/pooler/src/store-history/store-history.ts
@@ -26,9 +26,12 @@
 		return this.#generation ?? 0;
 	}
 
-	/** How long this host has known the current generation, in ms: a lower bound of the time since the last restore. */
-	knownForMs(nowMs: number): number {
-		return nowMs - this.#knownSinceMs;
+	/**
+	 * Whether the last restore certainly was more than `ageMs` ago: this host has known the current generation for so
+	 * long. A store that reports no generation keeps every write that it has acknowledged.
+	 */
+	isOlderThan(ageMs: number, nowMs: number): boolean {
+		return this.generation === 0 || nowMs - this.#knownSinceMs > ageMs;
 	}
 
 	/** Calls `subscriber` after each restore. */
@@ -45,7 +48,7 @@
 		const {timers, events} = this.options;
 		const previous = this.#generation;
 		const nowMs = timers.nowMs();
-		const previouslyKnownForMs = Math.round(this.knownForMs(nowMs));
+		const previouslyKnownForMs = Math.round(nowMs - this.#knownSinceMs);
 		this.#generation = generation;
 		this.#knownSinceMs = nowMs;
 		events.write(previous === undefined ? 'store-identified' : 'store-restored', {generation, from: previous, previouslyKnownForMs});
--- a/packages/pooler/test/failover/orphaned-fence-detector.test.ts
+++ b/packages/pooler/test/failover/orphaned-fence-detector.test.ts
@@ -2,7 +2,7 @@
 import {errAsync} from 'neverthrow';
 import {test} from 'tap';
 import {
-	PromotionLease, FailoverDriver, OrphanedFenceDetector, PromotionRecordStore,
+	PromotionLease, FailoverDriver, OrphanedFenceDetector, PromotionRecordStore, StoreHistory,
 } from '../../src/index.js';
 import {GroupFixture} from '../fixtures/fake-endpoints.js';
 
@@ -11,7 +11,7 @@
 	const {timers, events, group, clock} = fixture;
 	const driver = new FailoverDriver({
 		lease: new PromotionLease({
-			platform, timers, clock, events, hostId: 'h1',
+			platform, history: new StoreHistory({timers, events}), timers, clock, events, hostId: 'h1',
 		}),
 		promotionService: {promote: () => errAsync({kind: 'unavailable', message: 'not expected', outcomeKnown: true})},
 		promotionRecords: new PromotionRecordStore(platform),
--- a/packages/pooler/test/failover/promotion-lease.test.ts
+++ b/packages/pooler/test/failover/promotion-lease.test.ts
@@ -1,12 +1,15 @@
-import {ManualTimerService, MemoryPlatform} from '@dogwoodthread/coordination';
+import {ManualTimerService, MemoryPlatform, type Platform} from '@dogwoodthread/coordination';
 import {errAsync} from 'neverthrow';
 import {test} from 'tap';
-import {ClockDiscontinuityDetector, PromotionLease} from '../../src/index.js';
+import {ClockDiscontinuityDetector, PromotionLease, StoreHistory} from '../../src/index.js';
 import {MemoryEventLog} from '../fixtures/fake-endpoints.js';
+import {createRestorablePlatform} from '../fixtures/restorable-platform.js';
 
-const createLease = (platform: MemoryPlatform, timers: ManualTimerService, hostId: string) =>
+const createHistory = (timers: ManualTimerService) => new StoreHistory({timers, events: new MemoryEventLog()});
+
+const createLease = (platform: Platform, timers: ManualTimerService, hostId: string, history = createHistory(timers)) =>
 	new PromotionLease({
-		platform, timers, hostId, clock: new ClockDiscontinuityDetector(timers), events: new MemoryEventLog(),
+		platform, history, timers, hostId, clock: new ClockDiscontinuityDetector(timers), events: new MemoryEventLog(),
 	});
 
 // Guards against two hosts that promote at the same time, and against fencing tokens that repeat or decrease.
@@ -55,3 +58,67 @@
 		errAsync({kind: 'unavailable' as const, message: 'no answer', outcomeKnown: false}));
 	t.equal((await createLease(platform, timers, 'a').acquire())?.fencingToken, 1);
 });
+
+/** Two hosts on a store that has been in its first generation for a while. */
+function startGeneration() {
+	const timers = new ManualTimerService();
+	const store = createRestorablePlatform();
+	const [historyA, historyB] = [createHistory(timers), createHistory(timers)];
+	historyA.observe(1);
+	historyB.observe(1);
+	timers.advance(6000);
+	return {
+		timers,
+		store,
+		a: createLease(store.platform, timers, 'a', historyA),
+		b: createLease(store.platform, timers, 'b', historyB),
+		/** Loses all writes; both hosts hear of it. */
+		restore() {
+			store.clear();
+			historyA.observe(2);
+			historyB.observe(2);
+		},
+	};
+}
+
+// Guards against two holders at the same time, because the lease of the first one was lost with the store's latest writes.
+test('a lease that a restore of the store has lost is waited for', async t => {
+	const {timers, a, b, restore} = startGeneration();
+	const held = (await a.acquire())!;
+	restore();
+	t.equal(await b.acquire(), undefined);
+	timers.advance(3900);
+	t.ok(held.isValid(), 'the holder may still act');
+	t.equal(await b.acquire(), undefined);
+	timers.advance(1200);
+	t.notOk(held.isValid());
+	const next = await b.acquire();
+	t.ok(next!.fencingToken > held.fencingToken, 'the token is higher than the lost one');
+});
+
+// Guards against a lease that is taken with the token of an earlier generation, because the store was restored between its
+// read and its write.
+test('a lease whose write met a restore is not held', async t => {
+	const {store, restore, a} = startGeneration();
+	const put = store.platform.put.bind(store.platform);
+	store.platform.put = (...call) => {
+		restore();
+		return put(...call);
+	};
+
+	t.equal(await a.acquire(), undefined);
+});
+
+// Guards against a promotion that has to wait although the last restore was long ago.
+test('the lease is renewed after a restore, so that the next promotion need not wait', async t => {
+	const {timers, store, a, b, restore} = startGeneration();
+	restore();
+	t.notOk(await a.renewAfterRestore(), 'an earlier holder may still act');
+	timers.advance(6000);
+	t.ok(await a.renewAfterRestore());
+	const history = createHistory(timers);
+	history.observe(2);
+	t.ok(await b.renewAfterRestore(), 'it is there already');
+	const started = createLease(store.platform, timers, 'c', history);
+	t.ok(await started.acquire(), 'a host that has just started takes it at once');
+});
