Keep what a restore of the store loses of the promotion records

A record holds the floor of departed members, the announced term and the last order. Without the floor, a promotion can lose acknowledged commits (LOST) and a read bound can be too low (STALE); without the announcement, the store proves a primary that is being replaced (STALE); without the order, a second promotion can follow the first at once (ONE).

Each host remembers the last record it has read or written of a group. After a restore it writes again what the store has lost, within 1.5 s, long before anybody may take the lease (5 s). Until then a record that is not confirmed in the current generation counts as unknown. An announcement cannot be written again by others, since only its promoter knows it; so the store proves nothing about a group until a host confirms the term in the current generation, with evidence of a replica that is newer than every lease that may be lost.

Not covered: if all hosts are restarted between the restore and these writes, nobody remembers.

--- a/packages/pooler/src/daemon/pooler.ts
+++ b/packages/pooler/src/daemon/pooler.ts
@@ -83,12 +83,12 @@
 			transactionIdleMs: () => this.catalog.transactionIdleMs,
 			executorOf: service => this.#executors.get(service)?.local,
 		});
-		this.#promotionRecords = new PromotionRecordStore(platform);
+		this.#promotionRecords = new PromotionRecordStore({platform, history, timers});
 		const lease = new PromotionLease({
 			platform, history, timers, clock: this.#clock, events, hostId: self.hostId,
 		});
 		this.#lostWriteRecovery = new LostWriteRecovery({
-			history, lease, timers, events, random,
+			history, lease, promotionRecords: this.#promotionRecords, timers, events, random, groups: () => [...this.#groups.values()],
 		});
 		this.#failover = new FailoverDriver({
 			lease,
--- a/packages/pooler/src/failover/index.ts
+++ b/packages/pooler/src/failover/index.ts
@@ -7,6 +7,8 @@
 export {OrphanedFenceDetector} from './orphaned-fence-detector.js';
 export {detectionMs, failoverReason} from './failover-reason.js';
 export {ReplaceLeader, type ReplaceLeaderOptions} from './replace-leader.js';
-export {hasReachedFloor, PromotionRecordStore, type PromotionRecord} from './promotion-record-store.js';
+export {
+	hasReachedFloor, PromotionRecordStore, type PromotionRecord, type PromotionRecordStoreOptions, type RestoreOutcome,
+} from './promotion-record-store.js';
 export {UnseenOrders} from './unseen-orders.js';
 export type {FailoverReason, PromotionCallError, PromotionService} from './definitions.js';
--- a/packages/pooler/src/failover/promotion-record-store.ts
+++ b/packages/pooler/src/failover/promotion-record-store.ts
@@ -1,7 +1,10 @@
+import {isDeepStrictEqual} from 'node:util';
 import {
-	comparePositions, type LogPosition, maxPosition, type Platform, zeroPosition,
+	comparePositions, type LogPosition, maxPosition, type Platform, type TimerService, zeroPosition,
 } from '@dogwoodthread/coordination';
 import * as z from 'zod';
+import {type StoreHistory} from '../store-history/index.js';
+import {leaseExpiryMs} from './promotion-lease.js';
 
 const positionSchema = z.object({term: z.number().int(), index: z.number().int()});
 const recordSchema = z.object({
@@ -10,6 +13,7 @@
 	departed: z.array(z.string()).default([]),
 	orderedTerm: z.number().int().nonnegative().default(0),
 	orderedBy: z.string().default(''),
+	confirmedGeneration: z.number().int().nonnegative().default(0),
 });
 
 /** State shared by promoters, the hosts that order promotions: one object per group in the platform's store. */
@@ -23,31 +27,54 @@
 	/** Highest term whose start a promoter has ordered, and the host that did. */
 	orderedTerm: number;
 	orderedBy: string;
+	/** Latest generation of the store in which a host has confirmed that no higher term can have been announced. */
+	confirmedGeneration: number;
+};
+
+/**
+ * - `restored`: the store has everything that this host remembers.
+ * - `nothing-remembered`: this host knows no record from before the restore.
+ * - `failed`: the store did not answer, or the record changed meanwhile; try again.
+ */
+export type RestoreOutcome = 'restored' | 'nothing-remembered' | 'failed';
+
+export type PromotionRecordStoreOptions = {
+	platform: Platform;
+	history: StoreHistory;
+	timers: TimerService;
 };
 
 /** Number of departures kept. Few are enough, since the instances of a group are replaced one after the other. */
 const maxDepartedMembers = 8;
 const emptyRecord: PromotionRecord = {
-	term: 0, floor: zeroPosition, departed: [], orderedTerm: 0, orderedBy: '',
+	term: 0, floor: zeroPosition, departed: [], orderedTerm: 0, orderedBy: '', confirmedGeneration: 0,
 };
 
-/** Announced terms of promotions, and floors that a member must have reached to be promoted. */
+/**
+ * Announced terms of promotions, and floors that a member must have reached to be promoted. Also remembers the latest
+ * record of each group that this host has read or written, because a restore of the store loses some of it.
+ */
 export class PromotionRecordStore {
-	constructor(private readonly platform: Platform) {}
+	readonly #remembered = new Map<string, {record: PromotionRecord; generation: number}>();
+
+	constructor(private readonly options: PromotionRecordStoreOptions) {}
 
-	/** Undefined if the store does not answer or its record cannot be parsed. */
+	/** Undefined if the store does not answer, its record cannot be parsed, or other hosts may still complete it after a restore. */
 	async read(service: string): Promise<PromotionRecord | undefined> {
 		const stored = await this.#load(service);
-		return stored?.record;
+		return stored && this.#isComplete(stored.record) ? stored.record : undefined;
 	}
 
-	/** Highest announced term; 0 if there is none, undefined if the store does not answer. */
+	/**
+	 * Highest announced term; 0 if there is none. Undefined if the store does not answer, or may have lost an
+	 * announcement when it was restored.
+	 */
 	async readTerm(service: string): Promise<number | undefined> {
-		const record = await this.read(service);
-		return record?.term;
+		const stored = await this.#load(service);
+		return stored?.record.confirmedGeneration === this.options.history.generation ? stored.record.term : undefined;
 	}
 
-	/** Highest position that departed members may have acknowledged; undefined if the store does not answer. */
+	/** Highest position that departed members may have acknowledged; undefined as for `read`. */
 	async readFloor(service: string): Promise<LogPosition | undefined> {
 		const record = await this.read(service);
 		return record?.floor;
@@ -79,6 +106,38 @@
 			});
 	}
 
+	/** After a restore of the store, writes again what this host remembers of a record. */
+	async restore(service: string): Promise<RestoreOutcome> {
+		if (!this.#isFromEarlierGeneration(service)) {
+			return 'nothing-remembered';
+		}
+
+		return await this.#change(service, () => undefined) ? 'restored' : 'failed';
+	}
+
+	/**
+	 * Confirms, for the current generation of the store, that no term above `presentTerm` has been announced. The caller
+	 * has evidence from a replica that is newer than every lease that a restore may have lost; announcements made since
+	 * change the record, so that this write fails.
+	 */
+	async confirmTerm(service: string, presentTerm: number): Promise<boolean> {
+		const {generation} = this.options.history;
+		return this.#change(service, record => record.confirmedGeneration === generation
+			? undefined
+			: {...record, term: Math.max(presentTerm, record.orderedTerm), confirmedGeneration: generation});
+	}
+
+	/** Whether every host has had time to write again what a restore has lost. */
+	#isComplete({confirmedGeneration}: PromotionRecord): boolean {
+		const {history, timers} = this.options;
+		return confirmedGeneration === history.generation || history.isOlderThan(leaseExpiryMs, timers.nowMs());
+	}
+
+	#isFromEarlierGeneration(service: string): boolean {
+		const remembered = this.#remembered.get(service);
+		return remembered !== undefined && remembered.generation < this.options.history.generation;
+	}
+
 	async #change(service: string, change: (record: PromotionRecord) => PromotionRecord | undefined): Promise<boolean> {
 		const stored = await this.#load(service);
 		if (!stored) {
@@ -86,24 +145,53 @@
 		}
 
 		const changed = change(stored.record);
-		if (!changed) {
+		if (!changed && stored.isStored) {
 			return true;
 		}
 
-		const written = await this.platform.put('groups', service, changed, stored.version);
+		const record = changed ?? stored.record;
+		const {generation} = this.options.history;
+		const written = await this.options.platform.put('groups', service, record, stored.version);
+		if (written.isOk()) {
+			this.#remembered.set(service, {record, generation});
+		}
+
 		return written.isOk();
 	}
 
-	async #load(service: string): Promise<{record: PromotionRecord; version: number} | undefined> {
-		const found = await this.platform.get('groups', service);
-		if (found.isErr()) {
-			return found.error.kind === 'not-found' ? {record: emptyRecord, version: 0} : undefined;
+	/** The stored record, after a restore together with what this host remembers; `isStored` if the store has all of it. */
+	async #load(service: string): Promise<{record: PromotionRecord; version: number; isStored: boolean} | undefined> {
+		const found = await this.options.platform.get('groups', service);
+		if (found.isErr() && found.error.kind !== 'not-found') {
+			return undefined;
 		}
 
-		const parsed = recordSchema.safeParse(found.value.value);
-		return parsed.success ? {record: parsed.data, version: found.value.version} : undefined;
+		const parsed = recordSchema.safeParse(found.isOk() ? found.value.value : emptyRecord);
+		if (!parsed.success) {
+			return undefined;
+		}
+
+		const version = found.isOk() ? found.value.version : 0;
+		const remembered = this.#remembered.get(service);
+		const record = remembered && this.#isFromEarlierGeneration(service) ? mergeRecords(parsed.data, remembered.record) : parsed.data;
+		const isStored = isDeepStrictEqual(record, parsed.data);
+		if (isStored) {
+			this.#remembered.set(service, {record, generation: this.options.history.generation});
+		}
+
+		return {record, version, isStored};
 	}
 }
 
+/** A stored record with the floor and the order of one that was remembered from before a restore. */
+function mergeRecords(stored: PromotionRecord, remembered: PromotionRecord): PromotionRecord {
+	const isOrderLost = remembered.orderedTerm > stored.orderedTerm;
+	return {
+		...stored,
+		floor: maxPosition(stored.floor, remembered.floor),
+		...(isOrderLost && {orderedTerm: remembered.orderedTerm, orderedBy: remembered.orderedBy, term: Math.max(stored.term, remembered.orderedTerm)}),
+	};
+}
+
 /** Whether a log that ends at `received` has all commits that departed members may have acknowledged. */
 export const hasReachedFloor = (received: LogPosition, {floor}: PromotionRecord): boolean => comparePositions(received, floor) >= 0;
--- a/packages/pooler/src/observability/definitions.ts
+++ b/packages/pooler/src/observability/definitions.ts
@@ -46,6 +46,8 @@
 	'fence-lifted',
 	'lease-acquired',
 	'lease-released',
+	'promotion-record-restored',
+	'promotion-term-confirmed',
 	'departure-noted',
 	'departure-not-noted',
 	'host-appeared',
--- a/packages/pooler/test/failover/failover-driver.test.ts
+++ b/packages/pooler/test/failover/failover-driver.test.ts
@@ -2,9 +2,10 @@
 import {errAsync} from 'neverthrow';
 import {test} from 'tap';
 import {
-	type PromotionLease, FailoverDriver, type Group, type Member, PromotionRecordStore,
+	type PromotionLease, FailoverDriver, type Group, type Member,
 } from '../../src/index.js';
 import {MemoryEventLog} from '../fixtures/fake-endpoints.js';
+import {createPromotionRecords} from '../fixtures/promotion-records.js';
 
 /** A group without a primary whose replica receives nothing. */
 function leaderlessGroup(service: string, timers: ManualTimerService): Group & {leaderlessSinceMs: number} {
@@ -37,7 +38,7 @@
 	const driver = new FailoverDriver({
 		lease,
 		promotionService: {promote: () => errAsync({kind: 'unavailable', message: 'not expected', outcomeKnown: true})},
-		promotionRecords: new PromotionRecordStore(new MemoryPlatform()),
+		promotionRecords: createPromotionRecords(new MemoryPlatform(), timers),
 		timers,
 		events: new MemoryEventLog(),
 		hostId: 'h1',
@@ -75,7 +76,7 @@
 	const driver = new FailoverDriver({
 		lease,
 		promotionService: {promote: () => errAsync({kind: 'unavailable', message: 'not expected', outcomeKnown: true})},
-		promotionRecords: new PromotionRecordStore(new MemoryPlatform()),
+		promotionRecords: createPromotionRecords(new MemoryPlatform(), timers),
 		timers,
 		events,
 		hostId: 'h1',
--- a/packages/pooler/test/failover/orphaned-fence-detector.test.ts
+++ b/packages/pooler/test/failover/orphaned-fence-detector.test.ts
@@ -2,9 +2,10 @@
 import {errAsync} from 'neverthrow';
 import {test} from 'tap';
 import {
-	PromotionLease, FailoverDriver, OrphanedFenceDetector, PromotionRecordStore, StoreHistory,
+	PromotionLease, FailoverDriver, OrphanedFenceDetector, StoreHistory,
 } from '../../src/index.js';
 import {GroupFixture} from '../fixtures/fake-endpoints.js';
+import {createPromotionRecords} from '../fixtures/promotion-records.js';
 
 function startDriver(fixture: GroupFixture): FailoverDriver {
 	const platform = new MemoryPlatform();
@@ -14,7 +15,7 @@
 			platform, history: new StoreHistory({timers, events}), timers, clock, events, hostId: 'h1',
 		}),
 		promotionService: {promote: () => errAsync({kind: 'unavailable', message: 'not expected', outcomeKnown: true})},
-		promotionRecords: new PromotionRecordStore(platform),
+		promotionRecords: createPromotionRecords(platform, timers),
 		timers,
 		events,
 		hostId: 'h1',
--- a/packages/pooler/test/failover/replace-leader.test.ts
+++ b/packages/pooler/test/failover/replace-leader.test.ts
@@ -2,9 +2,10 @@
 import {errAsync, okAsync} from 'neverthrow';
 import {test} from 'tap';
 import {
-	type FailoverReason, type HeldLease, type PromotionService, ReplaceLeader, UnseenOrders, PromotionRecordStore,
+	type FailoverReason, type HeldLease, type PromotionService, ReplaceLeader, UnseenOrders,
 } from '../../src/index.js';
 import {GroupFixture} from '../fixtures/fake-endpoints.js';
+import {createPromotionRecords} from '../fixtures/promotion-records.js';
 
 type Case = {
 	name: string;
@@ -95,7 +96,7 @@
 	};
 	const lease: HeldLease = {fencingToken: 7, isValid, async release() {/* Not needed. */}};
 	const replacement = new ReplaceLeader({
-		group: fixture.group, reason, lease, promotionService, promotionRecords: new PromotionRecordStore(platform), unseenOrders, timers: fixture.timers, events: fixture.events, hostId: 'h1',
+		group: fixture.group, reason, lease, promotionService, promotionRecords: createPromotionRecords(platform, fixture.timers), unseenOrders, timers: fixture.timers, events: fixture.events, hostId: 'h1',
 	}).run();
 	const result = await fixture.advanceUntilSettled(replacement);
 	return {
@@ -170,7 +171,7 @@
 	fixture.primary.log = {term: 1, index: 30};
 	await fixture.advance(100);
 	const platform = new MemoryPlatform();
-	await new PromotionRecordStore(platform).recordDeparture('ledger', 'r0', {term: 1, index: 28});
+	await createPromotionRecords(platform, fixture.timers).recordDeparture('ledger', 'r0', {term: 1, index: 28});
 	t.equal((await replace(fixture, 'leader-isolated', undefined, platform)).promoted, undefined);
 	t.equal(fixture.primary.role, 'primary', 'the primary was not told to step down');
 	fixture.replica(2).log = {term: 1, index: 28};
@@ -203,7 +204,7 @@
 test('no promotion is ordered shortly after another host ordered one that this host does not see', async t => {
 	const fixture = await new GroupFixture().start();
 	const platform = new MemoryPlatform();
-	const records = new PromotionRecordStore(platform);
+	const records = createPromotionRecords(platform, fixture.timers);
 	await records.announceTerm('ledger', 2);
 	await records.recordOrder('ledger', 2, 'h2');
 	fixture.primary.isReachable = false;
@@ -227,7 +228,7 @@
 test('an abandoned attempt withdraws only its own announcement', async t => {
 	const fixture = await new GroupFixture().start();
 	const platform = new MemoryPlatform();
-	const records = new PromotionRecordStore(platform);
+	const records = createPromotionRecords(platform, fixture.timers);
 	await records.announceTerm('ledger', 5);
 	fixture.updateEndpoints(fixture.endpoints.map(endpoint => ({...endpoint, state: 'draining'})));
 	await replace(fixture, 'leader-unreachable', () => true, platform);
