Register hosts again after a restore of the store

Hosts write their entry every 20 s under the version of the last write. After a restore that write is refused once, an entry that was lost is missing for up to 20 s, and the other hosts take its share of the connections. A host that leaves within these 20 s fails to remove its entry and counts as up for 50 s more, as does one that had left and whose entry came back with the copy.

A host registers again within 1 s of hearing of a restore. Entries that a restore may have lost count for 10 s more. The last entry of a host that has left is remembered, so that a copy of it, or of an earlier one, is ignored and removed; a host that starts again under the name has another start time. The removal at a stop reads the entry again after a conflict. A version that only the restore has changed is no sign of life. For 30 s after a restore, lists are read without allowing stale ones, which may precede it.

--- a/packages/pooler/src/daemon/pooler.ts
+++ b/packages/pooler/src/daemon/pooler.ts
@@ -72,7 +72,7 @@
 			events.write('clock-discontinuity', {jumpMs: Math.round(jumpMs)});
 		});
 		this.#fleet = new Fleet({
-			platform, timers, events, self, onRefresh: () => {
+			platform, history, timers, events, random, self, onRefresh: () => {
 				this.#reconcileServices();
 			},
 		});
--- a/packages/pooler/src/fleet/fleet.ts
+++ b/packages/pooler/src/fleet/fleet.ts
@@ -1,12 +1,16 @@
-import {type Platform, type TimerService} from '@dogwoodthread/coordination';
+import {
+	type Platform, type PlatformObject, type RandomSource, type TimerService, type TimerSubscription,
+} from '@dogwoodthread/coordination';
 import * as z from 'zod';
 import {type EventLog, guardTask} from '../observability/index.js';
-import {versionFields} from '../store-history/index.js';
+import {splitStoreVersion, type StoreHistory, versionFields} from '../store-history/index.js';
 
 export type FleetOptions = {
 	platform: Platform;
+	history: StoreHistory;
 	timers: TimerService;
 	events: EventLog;
+	random: RandomSource;
 	self: FleetHost;
 	/** Called after each successful read of the host list. */
 	onRefresh?: () => void;
@@ -22,10 +26,19 @@
 	startedAtMs: number;
 };
 
+type FleetEntry = {
+	version: number;
+	/** When this host first saw that version, in monotonic ms. A version that only a restore of the store has brought does not count. */
+	versionSeenAtMs: number;
+	/** When the host wrote the entry, Unix time in ms by its own clock. */
+	confirmedAtMs: number;
+	host: FleetHost;
+};
+
 const maxPort = 65_535;
 const addressSchema = z.string().regex(/^[^:\s]+:\d{1,5}$/).refine(address => Number(address.slice(address.lastIndexOf(':') + 1)) <= maxPort);
 const hostSchema = z.object({
-	hostId: z.string(), address: addressSchema, failureDomain: z.string(), startedAtMs: z.number(),
+	hostId: z.string(), address: addressSchema, failureDomain: z.string(), startedAtMs: z.number(), confirmedAtMs: z.number().default(0),
 });
 
 /** Interval at which a host rewrites its own entry. */
@@ -37,13 +50,24 @@
 /** A host whose entry has not been rewritten for this long is considered down. */
 const livenessTimeoutMs = 50_000;
 const retryDelayMs = 500;
+/** Hosts register again after a restore of the store within this time, in ms, spread to limit the rate of writes. */
+const maxRegistrationDelayMs = 1000;
+/** Entries that are missing after a restore of the store count as up for this long, in ms, since their hosts register again. */
+const registrationGraceMs = 10_000;
+/** After a restore of the store, lists that may be stale are not used for this long, in ms: they may precede the restore. */
+const staleListTimeoutMs = 30_000;
 /** Entries that have not been rewritten for this long are removed, because entries at the store do not expire. */
 const entryRemovalTimeoutMs = 150_000;
+/** The last entries of hosts that have left are kept for this long, in ms; the backups of the store are some seconds old. */
+const departedRetentionMs = 600_000;
 
 /** Service discovery: the hosts of the deployment, from the entries that they write to the platform's store. */
 export class Fleet {
-	/** The latest version of each entry, and when this host first saw that version. */
-	readonly #entries = new Map<string, {version: number; versionSeenAtMs: number; host: FleetHost}>();
+	/** The latest version of each entry, by host. */
+	readonly #entries = new Map<string, FleetEntry>();
+	/** The last entry of each host that has left. A restored store may show it, or an earlier one, again. */
+	readonly #departed = new Map<string, FleetEntry>();
+	#heartbeatTimer: TimerSubscription | undefined;
 	#ownVersion = 0;
 	/** Revision of the store that the newest applied list shows. */
 	#revision = 0;
@@ -65,6 +89,9 @@
 
 	start(): void {
 		this.#guard(async () => this.#register());
+		this.options.history.subscribe(() => {
+			this.#scheduleHeartbeat(this.options.random() * maxRegistrationDelayMs);
+		});
 		for (const delayMs of startupRefreshDelaysMs) {
 			this.options.timers.after(delayMs, () => {
 				this.#guard(async () => this.#refresh());
@@ -79,7 +106,16 @@
 	/** Removes this host's entry, so that the other hosts may use its share of the connections. */
 	async deregister(): Promise<void> {
 		this.#isStopped = true;
-		await this.options.platform.remove('hosts', this.options.self.hostId, this.#ownVersion);
+		this.#heartbeatTimer?.cancel();
+		const {platform, self} = this.options;
+		const removed = await platform.remove('hosts', self.hostId, this.#ownVersion);
+		if (removed.isErr() && removed.error.kind === 'conflict') {
+			// The entry has another version since the store was restored, or since a write whose answer was lost.
+			const current = await platform.get('hosts', self.hostId);
+			if (current.isOk() && hostSchema.safeParse(current.value.value).data?.startedAtMs === self.startedAtMs) {
+				await platform.remove('hosts', self.hostId, current.value.version);
+			}
+		}
 	}
 
 	#guard(run: () => Promise<void>): void {
@@ -107,9 +143,16 @@
 			this.#ownVersion = current.isOk() ? current.value.version : 0;
 		}
 
-		timers.after(delayMs, () => {
-			this.#guard(async () => this.#sendHeartbeat());
-		});
+		this.#scheduleHeartbeat(delayMs);
+	}
+
+	#scheduleHeartbeat(delayMs: number): void {
+		this.#heartbeatTimer?.cancel();
+		if (!this.#isStopped) {
+			this.#heartbeatTimer = this.options.timers.after(delayMs, () => {
+				this.#guard(async () => this.#sendHeartbeat());
+			});
+		}
 	}
 
 	/** Removes by version, so that a host that has returned in the meantime keeps its entry. */
@@ -134,7 +177,9 @@
 		}
 
 		// A stale list may still show hosts that have left, so the first one must be current.
-		const listed = await this.options.platform.list('hosts', {allowStale: this.#isLoaded});
+		const {platform, history, timers} = this.options;
+		const allowStale = this.#isLoaded && !history.isRecentlyRestored(staleListTimeoutMs, timers.nowMs());
+		const listed = await platform.list('hosts', {allowStale});
 		if (listed.isErr()) {
 			// Keeps the current list; the store client logs the failure.
 			this.#retryUntilLoaded();
@@ -148,27 +193,63 @@
 
 		this.#isLoaded = true;
 		this.#revision = listed.value.revision;
-		const nowMs = this.options.timers.nowMs();
-		const names = new Set(listed.value.objects.map(({name}) => name));
-		for (const {name, version, value} of listed.value.objects) {
-			const parsed = hostSchema.safeParse(value);
-			if (parsed.success && this.#entries.get(name)?.version !== version) {
-				if (!this.#entries.has(name)) {
-					this.options.events.write('host-appeared', {peerId: name, address: parsed.data.address, ...versionFields(version)});
-				}
-
-				this.#entries.set(name, {version, versionSeenAtMs: nowMs, host: parsed.data});
+		const nowMs = timers.nowMs();
+		const listedNames = listed.value.objects.flatMap(object => this.#applyEntry(object, nowMs) ? [object.name] : []);
+		this.#removeMissing(new Set(listedNames), nowMs);
+		this.#removeStaleEntries(nowMs);
+		this.options.onRefresh?.();
+	}
+
+	/** Returns false for an entry of a host that has left, which a restore of the store has brought back. */
+	#applyEntry({name, version, value}: PlatformObject, nowMs: number): boolean {
+		const parsed = hostSchema.safeParse(value);
+		if (!parsed.success) {
+			return true;
+		}
+
+		const {confirmedAtMs, ...host} = parsed.data;
+		const departed = this.#departed.get(name);
+		if (departed?.host.startedAtMs === host.startedAtMs && confirmedAtMs <= departed.confirmedAtMs) {
+			this.options.events.write('host-gone', {peerId: name, reason: 'left before the store was restored'});
+			void this.options.platform.remove('hosts', name, version);
+			return false;
+		}
+
+		const known = this.#entries.get(name);
+		if (known?.version !== version) {
+			if (!known) {
+				this.options.events.write('host-appeared', {peerId: name, address: host.address, ...versionFields(version)});
 			}
+
+			const isRewritten = !known
+				|| splitStoreVersion(known.version).generation === splitStoreVersion(version).generation
+				|| known.host.startedAtMs !== host.startedAtMs
+				|| known.confirmedAtMs < confirmedAtMs;
+			this.#entries.set(name, {
+				version, versionSeenAtMs: isRewritten ? nowMs : known.versionSeenAtMs, confirmedAtMs, host,
+			});
 		}
 
-		for (const name of this.#entries.keys()) {
-			if (!names.has(name)) {
+		return true;
+	}
+
+	/** Removes the hosts without an entry. An entry of an earlier generation of the store may have been lost by a restore. */
+	#removeMissing(listedNames: ReadonlySet<string>, nowMs: number): void {
+		const {history, events} = this.options;
+		const missing = [...this.#entries].filter(([name]) => !listedNames.has(name));
+		for (const [name, entry] of missing) {
+			const isLeaving = splitStoreVersion(entry.version).generation === history.generation;
+			if (isLeaving || history.isOlderThan(registrationGraceMs, nowMs)) {
 				this.#entries.delete(name);
-				this.options.events.write('host-gone', {peerId: name});
+				this.#departed.set(name, entry);
+				events.write('host-gone', {peerId: name});
 			}
 		}
 
-		this.#removeStaleEntries(nowMs);
-		this.options.onRefresh?.();
+		for (const [name, {versionSeenAtMs}] of this.#departed) {
+			if (nowMs - versionSeenAtMs > departedRetentionMs) {
+				this.#departed.delete(name);
+			}
+		}
 	}
 }
--- a/packages/pooler/src/store-history/store-history.ts
+++ b/packages/pooler/src/store-history/store-history.ts
@@ -15,6 +15,7 @@
 export class StoreHistory {
 	#generation: number | undefined;
 	#knownSinceMs: number;
+	#hasBeenRestored = false;
 	readonly #subscribers: Subscriber[] = [];
 
 	constructor(private readonly options: StoreHistoryOptions) {
@@ -34,6 +35,11 @@
 		return this.generation === 0 || nowMs - this.#knownSinceMs > ageMs;
 	}
 
+	/** Whether this process has seen a restore at most `ageMs` ago. */
+	isRecentlyRestored(ageMs: number, nowMs: number): boolean {
+		return this.#hasBeenRestored && !this.isOlderThan(ageMs, nowMs);
+	}
+
 	/** Calls `subscriber` after each restore. */
 	subscribe(subscriber: Subscriber): void {
 		this.#subscribers.push(subscriber);
@@ -56,6 +62,7 @@
 			return;
 		}
 
+		this.#hasBeenRestored = true;
 		for (const subscriber of this.#subscribers) {
 			subscriber();
 		}
--- a/packages/pooler/test/fleet/fleet.test.ts
+++ b/packages/pooler/test/fleet/fleet.test.ts
@@ -1,15 +1,20 @@
-import {ManualTimerService, MemoryPlatform} from '@dogwoodthread/coordination';
+import {ManualTimerService, MemoryPlatform, type Platform} from '@dogwoodthread/coordination';
 import {test} from 'tap';
-import {Fleet, type FleetHost} from '../../src/index.js';
+import {
+	Fleet, type FleetHost, StoreHistory, toStoreVersion,
+} from '../../src/index.js';
 import {MemoryEventLog} from '../fixtures/fake-endpoints.js';
+import {createRestorablePlatform} from '../fixtures/restorable-platform.js';
 
 const createHost = (hostId: string): FleetHost => ({
 	hostId, address: `${hostId}:1`, failureDomain: 'a', startedAtMs: 0,
 });
 
-async function startFleet(platform: MemoryPlatform, timers: ManualTimerService, hostId: string): Promise<Fleet> {
+const createHistory = (timers: ManualTimerService) => new StoreHistory({timers, events: new MemoryEventLog()});
+
+async function startFleet(platform: Platform, timers: ManualTimerService, hostId: string, history = createHistory(timers), events = new MemoryEventLog()): Promise<Fleet> {
 	const fleet = new Fleet({
-		platform, timers, events: new MemoryEventLog(), self: createHost(hostId),
+		platform, timers, history, events, random: () => 0, self: createHost(hostId),
 	});
 	fleet.start();
 	await timers.advanceAsync(10, 10);
@@ -62,11 +67,7 @@
 test('a list that is older than the one in force is ignored', async t => {
 	const [platform, timers] = [new MemoryPlatform(), new ManualTimerService()];
 	const events = new MemoryEventLog();
-	const fleet = new Fleet({
-		platform, timers, events, self: createHost('a'),
-	});
-	fleet.start();
-	await timers.advanceAsync(10, 10);
+	const fleet = await startFleet(platform, timers, 'a', createHistory(timers), events);
 	const leaving = await startFleet(platform, timers, 'b');
 	await timers.advanceAsync(6000, 100);
 	t.same(hostIds(fleet), ['a', 'b']);
@@ -89,3 +90,89 @@
 	t.same(staleness.at(-1), false);
 	t.same(events.eventsNamed('host-appeared').map(({peerId}) => peerId), ['a', 'b', 'c']);
 });
+
+/** Two hosts on a store in its first generation, whose versions state the generation. */
+async function startRestorableFleet() {
+	const timers = new ManualTimerService();
+	const {platform, clear} = createRestorablePlatform();
+	const histories = [createHistory(timers), createHistory(timers)];
+	let generation = 1;
+	const {list} = platform;
+	platform.list = (...call) => list(...call).map(({objects, revision}) => ({
+		revision: toStoreVersion(generation, revision),
+		objects: objects.map(object => ({...object, version: toStoreVersion(generation, object.version)})),
+	}));
+	const {remove} = platform;
+	platform.remove = (kind, name, version) => remove(kind, name, version % toStoreVersion(1, 0));
+	for (const history of histories) {
+		history.observe(generation);
+	}
+
+	const events = new MemoryEventLog();
+	const first = await startFleet(platform, timers, 'a', histories[0], events);
+	const second = await startFleet(platform, timers, 'b', histories[1]);
+	await timers.advanceAsync(6000, 100);
+	return {
+		timers,
+		platform,
+		events,
+		first,
+		second,
+		/** Replaces the store by a copy with these entries. */
+		async restore(entries: Record<string, unknown>) {
+			clear();
+			for (const [name, entry] of Object.entries(entries)) {
+				await platform.put('hosts', name, entry, 0);
+			}
+
+			generation += 1;
+			for (const history of histories) {
+				history.observe(generation);
+			}
+		},
+	};
+}
+
+const readEntry = async (platform: Platform, name: string): Promise<unknown> => {
+	const found = await platform.get('hosts', name);
+	return found.isOk() ? found.value.value : undefined;
+};
+
+// Guards against hosts that count as gone, and whose connections others take, because a restore of the store lost their
+// entries. Entries were written again only after up to 20 s.
+test('hosts whose entries a restore has lost register again and stay in the fleet', async t => {
+	const {timers, platform, events, first, second, restore} = await startRestorableFleet();
+	await restore({});
+	await timers.advanceAsync(2000, 100);
+	t.ok(await readEntry(platform, 'a'));
+	t.ok(await readEntry(platform, 'b'));
+	await timers.advanceAsync(20_000, 100);
+	t.same([hostIds(first), hostIds(second)], [['a', 'b'], ['a', 'b']]);
+	t.same(events.eventsNamed('host-gone'), []);
+});
+
+// Guards against a host that has left and counts as up for 50 s more because a restore of the store brought its entry back.
+test('a host that has left does not return with a restored entry', async t => {
+	const {timers, platform, first, second, restore} = await startRestorableFleet();
+	const entry = await readEntry(platform, 'b');
+	await second.deregister();
+	await timers.advanceAsync(6000, 100);
+	t.same(hostIds(first), ['a']);
+	await restore({b: entry});
+	await timers.advanceAsync(6000, 100);
+	t.same(hostIds(first), ['a']);
+	t.equal(await readEntry(platform, 'b'), undefined, 'the entry is removed');
+	await platform.put('hosts', 'b', {...createHost('b'), startedAtMs: 7, confirmedAtMs: 7}, 0);
+	await timers.advanceAsync(6000, 100);
+	t.same(hostIds(first), ['a', 'b'], 'a host that starts again under the name is new');
+});
+
+// Guards against an entry that stays after its host has left, because the host knows the version from before a restore only.
+test('a host that leaves just after a restore removes its entry', async t => {
+	const {platform, second, restore} = await startRestorableFleet();
+	const entry = await readEntry(platform, 'b');
+	await restore({c: createHost('c'), b: entry});
+	await platform.put('hosts', 'b', entry, 1);
+	await second.deregister();
+	t.equal(await readEntry(platform, 'b'), undefined);
+});
