Keep an instance draining when a restored entry shows it as ready

A restore of the store may bring back the entry of an instance from before it announced that it leaves, or the entry of one that has ended. A host then took it for ready: its time to drain began anew, statements went to it past the bound (DRAIN), and it could be promoted.

An instance ends after it was draining, and one that starts under its id states another start time (born). The group therefore keeps each incarnation draining once it has seen that. Without a start time nothing is remembered.

--- a/packages/pooler/src/group/group.ts
+++ b/packages/pooler/src/group/group.ts
@@ -9,6 +9,7 @@
 import {type Member} from './member.js';
 import {isPollDue} from './poll-schedule.js';
 import {CommitBounds} from './commit-bounds.js';
+import {DrainingIncarnations} from './draining-incarnations.js';
 
 export type GroupOptions = {
 	service: string;
@@ -59,6 +60,7 @@
 	readonly #proof: LeadershipProof;
 	readonly #departedMembersFloor: DepartedMembersFloor;
 	#closed = false;
+	readonly #drainingIncarnations = new DrainingIncarnations();
 	/** Since when reads have been waiting for a commit bound in vain, in monotonic ms. */
 	#unboundedSinceMs: number | undefined;
 
@@ -141,8 +143,9 @@
 	 * Applies the endpoints that the catalog lists at present. Changes since the previous call were acknowledged after
 	 * `changedAfterMs`, in monotonic time.
 	 */
-	update(endpoints: readonly Endpoint[], limits: ServiceLimits, changedAfterMs: number): void {
+	update(listedEndpoints: readonly Endpoint[], limits: ServiceLimits, changedAfterMs: number): void {
 		this.#limits = limits;
+		const endpoints = listedEndpoints.map(endpoint => this.#drainingIncarnations.apply(endpoint));
 		const nowMs = this.options.timers.nowMs();
 		const listed = new Map(endpoints.map(endpoint => [endpoint.endpointId, endpoint]));
 		for (const member of this.members.values()) {
--- a/packages/pooler/test/group/group.test.ts
+++ b/packages/pooler/test/group/group.test.ts
@@ -185,3 +185,18 @@
 	const laterMs = timers.nowMs();
 	t.ok(await fixture.advanceUntilSettled(group.proveLeadership(laterMs, laterMs + 1000)));
 });
+
+// Guards against statements and promotions at an instance that is about to end, because a restore of the store brought
+// back its entry from before it announced that it leaves.
+test('an instance that was draining stays so until it has another start time', async t => {
+	const fixture = await new GroupFixture().start();
+	const listReplica = (state: 'ready' | 'draining', startedUnixMs: number) => {
+		fixture.updateEndpoints(fixture.endpoints.map(endpoint => endpoint.endpointId === 'r2' ? {...endpoint, state, startedUnixMs} : endpoint));
+		return fixture.group.members.get('r2')?.endpoint.state;
+	};
+
+	const states = [listReplica('ready', 5), listReplica('draining', 5), listReplica('ready', 5)];
+	fixture.updateEndpoints(fixture.endpoints.filter(({endpointId}) => endpointId !== 'r2'));
+	t.equal(fixture.group.members.has('r2'), false);
+	t.same([...states, listReplica('ready', 5), listReplica('ready', 6)], ['ready', 'draining', 'draining', 'draining', 'ready']);
+});
