Restore the store from copies in the soak, and check fencing tokens

The soak's store never lost what it had acknowledged, so that none of its checks could meet this incident. The operator and the instances write again at once; restored entries of instances that have ended expire. A new check finds fencing tokens that decrease or that two hosts use.

--- a/packages/load/src/bin/dogwood-soak.ts
+++ b/packages/load/src/bin/dogwood-soak.ts
@@ -22,6 +22,7 @@
 	seed: z.coerce.number().int(),
 	minutes: z.coerce.number().positive().max(maxMinutes),
 	hosts: z.coerce.number().int().min(1).max(maxHosts),
+	restores: z.coerce.number().int().nonnegative().default(0),
 });
 const argumentsSchema = runSchema.extend({keepLogs: z.boolean().default(false), regressions: z.boolean().default(false)});
 const regressionsSchema = z.array(runSchema.extend({cause: z.string()}));
@@ -47,10 +48,10 @@
 };
 
 /** Prints one JSON line; gives whether everything held. */
-const runSeed = async ({seed, minutes, hosts}: SeedRun, keepLogs: boolean): Promise<boolean> => {
+const runSeed = async ({seed, minutes, hosts, restores}: SeedRun, keepLogs: boolean): Promise<boolean> => {
 	const folder = await mkdtemp(path.join(tmpdir(), `dogwood-soak-${seed}-`));
 	const report = await runSoak({
-		seed, durationMs: minutes * 60_000, hosts, folder, log,
+		seed, durationMs: minutes * 60_000, hosts, restores, folder, log,
 	});
 	const isKept = keepLogs || !report.ok;
 	if (!isKept) {
@@ -92,6 +93,7 @@
 	.option('--seed <number>', 'seed of the faults and the load', {default: 1})
 	.option('--minutes <number>', 'time under faults', {default: 0.5})
 	.option('--hosts <number>', 'number of dogwood-pooler processes', {default: 4})
+	.option('--restores <number>', 'number of times that the store is restored from a copy', {default: 2})
 	.option('--regressions', 'play the seeds that failed once instead (soak-seeds.yaml)')
 	.option('--keep-logs', 'keep the folder with logs and settings even if everything held')
 	.action(runSoaks);
--- a/packages/load/src/soak/core/fault-injector.ts
+++ b/packages/load/src/soak/core/fault-injector.ts
@@ -1,4 +1,4 @@
-import {type StoreMode} from '@dogwoodthread/platform/standin';
+import {type StoreCopy, type StoreMode} from '@dogwoodthread/platform/standin';
 import {type SoakHistory} from '../definitions.js';
 import {type FaultTarget, type PlannedFault} from '../domain/fault-plan.js';
 import {bounds} from '../domain/history-checks.js';
@@ -17,6 +17,9 @@
 const slowStatementDelayMs = 300;
 const statementDelayMs = 4;
 const slowStoreResponseDelayMs = 600;
+const copyIntervalMs = 500;
+/** Copies of the store up to 6 s old. */
+const maxCopies = 12;
 
 const sleep = async (durationMs: number): Promise<void> => new Promise(resolve => {
 	setTimeout(resolve, durationMs);
@@ -41,11 +44,16 @@
 		planned: async fault => this.#runPlannedOperation(fault),
 	};
 
+	#copies: StoreCopy[] = [];
+
 	constructor(private readonly fleet: SoakFleet) {}
 
 	/** Injects the faults at their planned times; resolves once all of them have ended. */
 	async run(faults: readonly PlannedFault[]): Promise<void> {
 		const startedMs = performance.now();
+		const copyTimer = setInterval(() => {
+			this.#copies = [...this.#copies, this.fleet.store.copy()].slice(-maxCopies);
+		}, copyIntervalMs);
 		await Promise.all(faults.map(async fault => {
 			await sleep(Math.max(0, startedMs + fault.atMs - performance.now()));
 			const name = `${fault.target}/${fault.kind}`;
@@ -59,6 +67,7 @@
 			await this.#actions[fault.target](fault);
 			span.untilMs = performance.now();
 		}));
+		clearInterval(copyTimer);
 	}
 
 	async killAllHosts(): Promise<void> {
@@ -98,7 +107,7 @@
 		link.setMode('pass');
 	}
 
-	async #injectStoreFault({kind, durationMs}: PlannedFault): Promise<void> {
+	async #injectStoreFault({kind, durationMs, targetIndex}: PlannedFault): Promise<void> {
 		const {store} = this.fleet;
 		switch (kind) {
 			case 'silence-connections': {
@@ -107,6 +116,17 @@
 				break;
 			}
 
+			case 'restored': {
+				const copy = this.#copies[targetIndex % this.#copies.length] ?? store.copy();
+				// Copies taken after this one belong to the history that is lost.
+				this.#copies = [copy];
+				store.mode = 'silent';
+				await sleep(durationMs);
+				this.fleet.restoreStore(copy);
+				store.mode = 'serving';
+				break;
+			}
+
 			case 'forget-history': {
 				store.compactHistory();
 				break;
--- a/packages/load/src/soak/core/run-soak.ts
+++ b/packages/load/src/soak/core/run-soak.ts
@@ -5,8 +5,10 @@
 import {
 	type ClientAttempt, type SoakHistory, type SoakOptions, type SoakReport, type Violation,
 } from '../definitions.js';
-import {planFinalFaults, planFaults} from '../domain/fault-plan.js';
-import {bounds, checkSoakHistory, isUndisturbed} from '../domain/history-checks.js';
+import {planFinalFaults, planFaults, planRestores} from '../domain/fault-plan.js';
+import {
+	bounds, checkFencingTokens, checkSoakHistory, isUndisturbed,
+} from '../domain/history-checks.js';
 import {ConfigurationProbe} from './configuration-probe.js';
 import {FaultInjector} from './fault-injector.js';
 import {SoakClient} from './soak-client.js';
@@ -27,7 +29,7 @@
 });
 
 /** Runs one seed: load under random faults, a final outage of the store, a kill of all processes, then the checks. */
-export async function runSoak({seed, durationMs, hosts, folder, log}: SoakOptions): Promise<SoakReport> {
+export async function runSoak({seed, durationMs, hosts, restores, folder, log}: SoakOptions): Promise<SoakReport> {
 	const random = new SeededRandom(seed);
 	const attempts: ClientAttempt[] = [];
 	const runs: RunRecord[] = [];
@@ -44,7 +46,7 @@
 		});
 		const clients = Array.from({length: hosts * clientsPerHost}, (_, number) => createClient(number));
 		const activity = Promise.all([probe.run(), ...clients.map(async client => client.run())]);
-		const faults = planFaults(random.fork(), durationMs);
+		const faults = [...planFaults(random.fork(), durationMs), ...planRestores(new SeededRandom(seed + 1), durationMs, restores)];
 		log('injecting faults', {faults: faults.length});
 		await Promise.all([injector.run(faults), sleep(durationMs)]);
 		log('all random faults have ended; injecting the final outage of the store');
@@ -68,6 +70,7 @@
 			...probe.violations,
 			...recoveryViolations(recoveryMs, hasConverged),
 			...processViolations(fleet, injector),
+			...checkFencingTokens(fleet.store.promotions.map(({holder, token}) => ({holder: String(holder), token: Number(token)}))),
 		];
 		const report = summarize({
 			seed, hosts, minutes: durationMs / 60_000, faults: injector.counts, promotions: fleet.promotions, recoveryMs, violations,
--- a/packages/load/src/soak/core/soak-fleet.ts
+++ b/packages/load/src/soak/core/soak-fleet.ts
@@ -2,7 +2,7 @@
 import {createServer} from 'node:net';
 import path from 'node:path';
 import {
-	type ControlRecord, putConfiguration, type RunRecord, formatSettings, StoreStandin,
+	type ControlRecord, putConfiguration, type RunRecord, formatSettings, type StoreCopy, StoreStandin,
 } from '@dogwoodthread/platform/standin';
 import {type SoakDatabase} from '../definitions.js';
 import {bounds} from '../domain/history-checks.js';
@@ -129,6 +129,15 @@
 		this.#writeConfiguration();
 	}
 
+	/** Restores the store from a copy; the operator and the instances write again what they wrote since. */
+	restoreStore(copy: StoreCopy): void {
+		this.store.restore(copy);
+		this.#writeConfiguration();
+		for (const group of this.groups) {
+			group.publishAgain();
+		}
+	}
+
 	#writeConfiguration(): void {
 		const databases: SoakDatabase[] = [
 			...soakDatabases,
--- a/packages/load/src/soak/core/soak-group.ts
+++ b/packages/load/src/soak/core/soak-group.ts
@@ -85,6 +85,19 @@
 		await this.#addInstance(this.group.leader ? 'replica' : 'primary', instance);
 	}
 
+	/** Writes all entries after the store has lost some. Restored entries of instances that have ended expire. */
+	publishAgain(): void {
+		const {store, service} = this.options;
+		this.#publishedStates.clear();
+		this.#publishChangedEndpoints();
+		setTimeout(() => {
+			const present = new Set(this.members.map(({instance}) => instance.id));
+			for (const name of store.names('servers').filter(id => id.startsWith(`${service}-`) && !present.has(id))) {
+				removeEndpoint(store, name);
+			}
+		}, endpointExpiryMs).unref();
+	}
+
 	async #addInstance(role: 'primary' | 'replica', predecessor?: InstanceStandin): Promise<void> {
 		this.#startedInstanceCount += 1;
 		const {service, maxConnections, onRun, onControl} = this.options;
--- a/packages/load/src/soak/definitions.ts
+++ b/packages/load/src/soak/definitions.ts
@@ -7,6 +7,8 @@
 	/** Duration of fault injection in ms, not counting start-up and recovery. */
 	durationMs: number;
 	hosts: number;
+	/** Number of times that the store is restored from a copy. */
+	restores: number;
 	/** Folder that receives the settings, the logs and the history. */
 	folder: string;
 	log: (message: string, fields?: Record<string, unknown>) => void;
@@ -14,7 +16,7 @@
 
 export type ViolationKind
 	= | 'lost' | 'doubled' | 'altered' | 'mixed' | 'stale' | 'false-not-run' | 'pinning' | 'routing' | 'late-to-drained'
-		| 'configuration-regress' | 'configuration-late' | 'cut-at-stop' | 'late-stop' | 'no-recovery' | 'crash';
+		| 'configuration-regress' | 'configuration-late' | 'cut-at-stop' | 'late-stop' | 'no-recovery' | 'crash' | 'fencing';
 
 export type Violation = {kind: ViolationKind; statementId: string; detail: string};
 
--- a/packages/load/src/soak/domain/fault-plan.ts
+++ b/packages/load/src/soak/domain/fault-plan.ts
@@ -49,6 +49,19 @@
 	return faults.filter(fault => fault.atMs < durationMs).toSorted((a, b) => a.atMs - b.atMs);
 }
 
+const restoreOutageMs = {min: 100, max: 2000};
+
+/** Plans restores of the store from copies of different age; `targetIndex` selects the copy. A plan of its own keeps the other faults of a seed the same. */
+export function planRestores(random: SeededRandom, durationMs: number, count: number): PlannedFault[] {
+	return Array.from({length: count}, () => ({
+		atMs: random.fraction() * durationMs,
+		target: 'store' as const,
+		kind: 'restored',
+		targetIndex: random.int(0, 1000),
+		durationMs: random.int(restoreOutageMs.min, restoreOutageMs.max),
+	}));
+}
+
 const finalOutageMs = {min: 1000, max: 4500};
 const finalChangeDelaysMs = [100, 600];
 
--- a/packages/load/src/soak/domain/history-checks.ts
+++ b/packages/load/src/soak/domain/history-checks.ts
@@ -170,6 +170,14 @@
 		&& endedAtMs <= stop.untilMs && sentAtMs <= stop.fromMs + maxSendDelayAtStopMs) && isUndisturbed(history, sentAtMs, endedAtMs))
 	.map(({statementId, hostIndex}) => createViolation('cut-at-stop', statementId, `host ${hostIndex} closed the connection without an answer`));
 
+/** Orders of promotions in which the fencing token decreases, or two hosts use the same one. */
+export function checkFencingTokens(orders: ReadonlyArray<{holder: string; token: number}>): Violation[] {
+	return orders.flatMap(({holder, token}, index) => {
+		const earlier = orders.slice(0, index).find(other => other.token > token || (other.token === token && other.holder !== holder));
+		return earlier ? [createViolation('fencing', '', `${holder} ordered a promotion with token ${token} after ${earlier.holder} used ${earlier.token}`)] : [];
+	});
+}
+
 const checks: readonly Check[] = [
 	checkLostWrites, checkDoubledWrites, checkAlteredStatements, checkMixedAnswers, checkFalseNotRun, checkStaleReads, checkPinning, checkRouting, checkDrainedInstances, checkStops,
 ];
--- a/packages/load/test/soak/history-checks.test.ts
+++ b/packages/load/test/soak/history-checks.test.ts
@@ -1,7 +1,7 @@
 import {emptyLog, type LogEntry, type RunRecord} from '@dogwoodthread/platform/standin';
 import {test} from 'tap';
 import {type ClientAttempt, type SoakHistory} from '../../src/soak/definitions.js';
-import {checkSoakHistory, isConfigurationLate} from '../../src/soak/domain/history-checks.js';
+import {checkFencingTokens, checkSoakHistory, isConfigurationLate} from '../../src/soak/domain/history-checks.js';
 
 const commit = (previous: LogEntry, ...statementIds: string[]): LogEntry => ({
 	term: 1, index: previous.index + 1, previous, statementIds, changes: statementIds.map(id => ['lane', `data-${id}`] as const),
@@ -150,3 +150,12 @@
 	});
 	t.end();
 });
+
+// Guards against a soak that does not notice two holders of one fencing token, or a holder that acts after its successor.
+test('orders with a used or a lower fencing token are found', t => {
+	const order = (holder: string, token: number) => ({holder, token});
+	t.same(checkFencingTokens([order('a', 1), order('a', 1), order('b', 2)]), []);
+	t.match(checkFencingTokens([order('a', 1), order('b', 1)]), [{kind: 'fencing', detail: 'b ordered a promotion with token 1 after a used 1'}]);
+	t.match(checkFencingTokens([order('a', 1), order('b', 2), order('a', 1)]), [{kind: 'fencing', detail: 'a ordered a promotion with token 1 after b used 2'}]);
+	t.end();
+});
--- a/packages/load/test/soak/soak.test.ts
+++ b/packages/load/test/soak/soak.test.ts
@@ -9,7 +9,7 @@
 test('a short soak run has no violations', {timeout: 110_000}, async t => {
 	const folder = await mkdtemp(path.join(tmpdir(), 'dogwood-soak-test-'));
 	const report = await runSoak({
-		seed: 4, durationMs: 21_000, hosts: 4, folder, log: () => undefined,
+		seed: 4, durationMs: 21_000, hosts: 4, restores: 2, folder, log: () => undefined,
 	});
 	t.same(report.violations, []);
 	t.ok(report.served > 500, `${report.served} statements served`);
