Keep an announced term when a host confirms the present one

By reading the diff: a host confirms the term of a group once in each generation of the store. Its evidence may be from just before a promoter announces the next term, or from between the announcement and the fences; the confirmation then replaced the announcement by the present term, and the store would have proved the old primary during the promotion (STALE). Checking the version of the record does not help, since it is read after the evidence.

The confirmation never lowers the term in the record any more. A term that was announced and withdrawn before a restore may stay then, which costs the proof by the store until the next promotion. The test fails without the change (the announced term 2 is read back as 1).

--- a/packages/pooler/src/failover/promotion-record-store.ts
+++ b/packages/pooler/src/failover/promotion-record-store.ts
@@ -27,7 +27,7 @@
 	/** Highest term whose start a promoter has ordered, and the host that did. */
 	orderedTerm: number;
 	orderedBy: string;
-	/** Latest generation of the store in which a host has confirmed that no higher term can have been announced. */
+	/** Latest generation of the store in which a host has confirmed that a restore has lost no announcement. */
 	confirmedGeneration: number;
 };
 
@@ -116,15 +116,15 @@
 	}
 
 	/**
-	 * Confirms, for the current generation of the store, that no term above `presentTerm` has been announced. The caller
-	 * has evidence from a replica that is newer than every lease that a restore may have lost; announcements made since
-	 * change the record, so that this write fails.
+	 * Confirms, for the current generation of the store, that a restore has lost no announcement of a term above
+	 * `presentTerm`. The caller has evidence from a replica that is newer than every lease that may be lost. A higher term
+	 * in the record stays, since it may be announced just now.
 	 */
 	async confirmTerm(service: string, presentTerm: number): Promise<boolean> {
 		const {generation} = this.options.history;
 		return this.#change(service, record => record.confirmedGeneration === generation
 			? undefined
-			: {...record, term: Math.max(presentTerm, record.orderedTerm), confirmedGeneration: generation});
+			: {...record, term: Math.max(record.term, presentTerm), confirmedGeneration: generation});
 	}
 
 	/** Whether every host has had time to write again what a restore has lost. */
--- a/packages/pooler/test/failover/lost-write-recovery.test.ts
+++ b/packages/pooler/test/failover/lost-write-recovery.test.ts
@@ -95,3 +95,15 @@
 	t.match(await otherRecords.read('ledger'), {term: 2, orderedTerm: 2, orderedBy: 'h1'});
 	stop();
 });
+
+// Guards against an announcement that is overwritten by a host whose evidence is from just before it: the promoter fences
+// the replicas only after it has announced its term.
+test('the confirmation of a term keeps an announcement of the same generation', async t => {
+	const {fixture, records, otherRecords, restoreStore, stop} = await startHost();
+	restoreStore();
+	await otherRecords.announceTerm('ledger', 2);
+	await fixture.advance(10_000);
+	t.match(fixture.events.eventsNamed('promotion-term-confirmed').at(-1), {storeGeneration: 2});
+	t.equal(await records.readTerm('ledger'), 2);
+	stop();
+});
