--- a/packages/pooler/src/store-history/store-history.ts
+++ b/packages/pooler/src/store-history/store-history.ts
@@ -22,14 +22,14 @@
 		this.#knownSinceMs = options.timers.nowMs();
 	}
 
-	/** Newest generation that an answer of the store has shown; 0 before the first one, or if the store does not report it. */
+	/** Newest generation that an answer of the store has shown; 0 if none has, or the store has never been restored. */
 	get generation(): number {
 		return this.#generation ?? 0;
 	}
 
 	/**
 	 * Whether the last restore certainly was more than `ageMs` ago: this host has known the current generation for so
-	 * long. A store that reports no generation keeps every write that it has acknowledged.
+	 * long. In generation 0 there was no restore.
 	 */
 	isOlderThan(ageMs: number, nowMs: number): boolean {
 		return this.generation === 0 || nowMs - this.#knownSinceMs > ageMs;
