--- a/packages/pooler/src/observability/definitions.ts
+++ b/packages/pooler/src/observability/definitions.ts
@@ -37,6 +37,7 @@
 	'request-failed',
 	'request-retried',
 	'request-moved',
+	'statement-prepared',
 	'session-refused',
 	'client-left',
 	'promotion-deferred',
--- a/packages/pooler/src/session/prepare-connection.ts
+++ b/packages/pooler/src/session/prepare-connection.ts
@@ -1,6 +1,8 @@
 import {err, ok, type Result} from 'neverthrow';
 import {type EndpointCommand} from '../endpoint/index.js';
+import {type EventLog} from '../observability/index.js';
 import {type ConnectionLease, type LeaseError} from '../pool/index.js';
+import {type HeldConnection, type Operation} from './operation.js';
 import {type PreparedStatement, type SessionState} from './session-state.js';
 
 /** The session state could not be set up on the connection; the statement was not sent. */
@@ -12,10 +14,10 @@
  * Ends with `lease-ended` if the connection is given up meanwhile.
  */
 export async function prepareConnection(
-	connection: ConnectionLease,
-	session: SessionState,
+	{connection, member}: HeldConnection,
+	{id, session}: Pick<Operation, 'id' | 'session'>,
 	statement: PreparedStatement | undefined,
-	timeoutMs: number,
+	{timeoutMs, events}: {timeoutMs: number; events: EventLog},
 ): Promise<Result<void, PrepareError>> {
 	for (const command of preparationCommands(connection, session, statement)) {
 		const answer = await connection.run(command, timeoutMs);
@@ -26,6 +28,13 @@
 		if (answer.value.error) {
 			return err({kind: 'refused', message: `${command.kind} was refused: ${answer.value.error.text}`});
 		}
+
+		if (command.kind === 'prepare') {
+			const {name, access, shape} = command;
+			events.write('statement-prepared', {
+				requestId: id, endpointId: member.id, name, access, shape,
+			});
+		}
 	}
 
 	return ok();
--- a/packages/pooler/src/session/run-bounded-read.ts
+++ b/packages/pooler/src/session/run-bounded-read.ts
@@ -123,7 +123,7 @@
 /** Runs the read on a held connection, then releases the connection, or closes it if no answer came. */
 async function runRead(held: HeldConnection, statement: SingleStatement, operation: LocalOperation, context: OperationContext, minPosition: LogPosition): Promise<CommandResult> {
 	const remainingMs = () => operation.deadlineMs - context.timers.nowMs();
-	const ready = await prepareConnection(held.connection, operation.session, statement.prepared, remainingMs());
+	const ready = await prepareConnection(held, operation, statement.prepared, {timeoutMs: remainingMs(), events: context.events});
 	if (ready.isErr()) {
 		discardConnection(held, ready.error.kind === 'silent');
 		return err('lost');
--- a/packages/pooler/src/session/run-primary-read.ts
+++ b/packages/pooler/src/session/run-primary-read.ts
@@ -30,7 +30,7 @@
 		return notRunOutcome(statementFailure('leadership-unproven'));
 	}
 
-	const ready = await prepareConnection(held.connection, operation.session, statement.prepared, remainingMs());
+	const ready = await prepareConnection(held, operation, statement.prepared, {timeoutMs: remainingMs(), events: context.events});
 	if (ready.isErr()) {
 		discardConnection(held, ready.error.kind === 'silent');
 		return notRunOutcome(statementFailure('no-reader'));
--- a/packages/pooler/src/session/run-write.ts
+++ b/packages/pooler/src/session/run-write.ts
@@ -21,7 +21,7 @@
 
 	const held = acquired.value;
 	const remainingMs = () => operation.deadlineMs - context.timers.nowMs();
-	const ready = await prepareConnection(held.connection, operation.session, statement.prepared, remainingMs());
+	const ready = await prepareConnection(held, operation, statement.prepared, {timeoutMs: remainingMs(), events: context.events});
 	if (ready.isErr()) {
 		discardConnection(held, ready.error.kind === 'silent');
 		return notRunOutcome(statementFailure('no-reader'));
--- a/packages/pooler/src/session/transaction.ts
+++ b/packages/pooler/src/session/transaction.ts
@@ -53,7 +53,8 @@
 		}
 
 		const held = begun.value;
-		const ready = await prepareConnection(held.connection, this.options.session, statement.prepared, this.#remainingMs(operation));
+		const {session, context: {events}} = this.options;
+		const ready = await prepareConnection(held, {id: operation.id, session}, statement.prepared, {timeoutMs: this.#remainingMs(operation), events});
 		if (this.#state !== 'open') {
 			// The transaction was ended or expired meanwhile, which also stops the preparation.
 			return err(statementFailure('transaction-failed'));
@@ -245,7 +246,7 @@
 		}
 
 		// Session values are set before the transaction begins, because an endpoint may refuse to reset them inside one.
-		const ready = await prepareConnection(held.connection, session, undefined, this.#remainingMs(operation));
+		const ready = await prepareConnection(held, {id: operation.id, session}, undefined, {timeoutMs: this.#remainingMs(operation), events: context.events});
 		if (ready.isErr()) {
 			discardConnection(held, ready.error.kind === 'silent');
 			return err(statementFailure('no-reader'));
