Name prepared statements at the instances by a digest

Callers saw a back end run a text that nobody had sent: a client prepared a shape with blanks, the host named it r_ and the shape at the instance, and PREPARE and EXECUTE with such a name are other statements: another item was read or written, acknowledged. Two shapes that begin with the same word shared a name, so a client could run another client's shape.

Cause: text of a client was made a part of a word of the line protocol, whose words end at blanks; only the last field of a line may hold any text. Ruled out by the log of what is prepared: joined lines (the shape was right each time), and a wrong record of what a connection has prepared (each name had one shape).

It is the same on all hosts, so the message between hosts keeps its form: hosts of an earlier version that receive it run it right, and a holder names what it receives by its own rule, because earlier versions still send the old names. A name without a statement is not accepted from another host any more.

--- a/packages/pooler/src/forward/forward-service.ts
+++ b/packages/pooler/src/forward/forward-service.ts
@@ -2,7 +2,7 @@
 import {err} from 'neverthrow';
 import {type EventLog, guardTask} from '../observability/index.js';
 import {
-	createProgress, type Operation, SessionState, statementFailure, type StatementFailure, type StatementResult, type TransactionHandle,
+	createPreparedStatement, createProgress, type Operation, SessionState, type SingleStatement, statementFailure, type StatementFailure, type StatementResult, type TransactionHandle,
 } from '../session/index.js';
 import {type LocalReach} from './fallback-executor.js';
 import {
@@ -165,23 +165,21 @@
 		}
 
 		open.isBusy = true;
-		const result = await open.handle.run({command: request.command, prepared: request.prepared}, request.isWrite, operation);
+		const result = await open.handle.run(toSingleStatement(request), request.isWrite, operation);
 		open.isBusy = false;
 		open.lastUsedAtMs = this.options.timers.nowMs();
 		return result;
 	}
 
 	async #runSingle(request: Extract<ForwardRequest, {kind: 'single'}>): Promise<StatementResult> {
-		const {
-			statement, command, prepared, isWrite,
-		} = request;
+		const {statement, isWrite} = request;
 		const executor = this.options.executorOf(statement.service);
 		if (!this.#canServe(request, isWrite)) {
 			return err(statementFailure('not-reachable'));
 		}
 
 		return executor
-			? executor.runSingle({command, prepared}, isWrite, this.#createOperation(request, createSession(statement)))
+			? executor.runSingle(toSingleStatement(request), isWrite, this.#createOperation(request, createSession(statement)))
 			: err(statementFailure('no-connection'));
 	}
 
@@ -227,6 +225,16 @@
 	}
 }
 
+/** The statement under this host's own name for it: a host of an earlier version may name it by its shape. */
+function toSingleStatement({command, prepared}: Pick<Extract<ForwardRequest, {kind: 'single'}>, 'command' | 'prepared'>): SingleStatement {
+	if (command.kind !== 'execute' || !prepared) {
+		return {command, prepared: undefined};
+	}
+
+	const statement = createPreparedStatement(prepared.access, prepared.shape);
+	return {command: {...command, name: statement.sharedName}, prepared: statement};
+}
+
 function createSession({values, committed}: ForwardedStatement): SessionState {
 	const session = new SessionState();
 	for (const [name, value] of values) {
--- a/packages/pooler/src/forward/peer-messages.ts
+++ b/packages/pooler/src/forward/peer-messages.ts
@@ -35,11 +35,14 @@
 	isWrite: z.boolean(),
 };
 
+/** A name alone does not say what it stands for: the holder knows statements by their shapes. */
+const hasStatement = ({command, prepared}: {command: {kind: string}; prepared?: unknown}): boolean => command.kind !== 'execute' || prepared !== undefined;
+
 const requestSchema = z.discriminatedUnion('kind', [
-	z.looseObject({kind: z.literal('single'), ...callFields, ...bodyFields}),
+	z.looseObject({kind: z.literal('single'), ...callFields, ...bodyFields}).refine(hasStatement),
 	z.looseObject({
 		kind: z.literal('transaction'), ...callFields, ...transactionFields, ...bodyFields,
-	}),
+	}).refine(hasStatement),
 	z.looseObject({kind: z.literal('commit'), ...callFields, ...transactionFields}),
 	z.looseObject({kind: z.literal('abort'), transaction: z.number()}),
 	z.looseObject({kind: z.literal('ping')}),
--- a/packages/pooler/src/session/index.ts
+++ b/packages/pooler/src/session/index.ts
@@ -7,6 +7,7 @@
 } from './executor.js';
 export {LocalExecutor, type LocalExecutorContext} from './local-executor.js';
 export {createProgress, type Operation, type OperationProgress} from './operation.js';
+export {createPreparedStatement, type PreparedStatement} from './prepared-statement.js';
 export type {SingleStatement} from './single-statement.js';
 export {Session, type SessionContext} from './session.js';
-export {SessionState, type PreparedStatement} from './session-state.js';
+export {SessionState} from './session-state.js';
--- a/packages/pooler/src/session/prepare-connection.ts
+++ b/packages/pooler/src/session/prepare-connection.ts
@@ -3,7 +3,8 @@
 import {type EventLog} from '../observability/index.js';
 import {type ConnectionLease, type LeaseError} from '../pool/index.js';
 import {type HeldConnection, type Operation} from './operation.js';
-import {type PreparedStatement, type SessionState} from './session-state.js';
+import {type PreparedStatement} from './prepared-statement.js';
+import {type SessionState} from './session-state.js';
 
 /** The session state could not be set up on the connection; the statement was not sent. */
 export type PrepareError = LeaseError | {kind: 'refused'; message: string};
--- a/packages/pooler/src/session/session-state.ts
+++ b/packages/pooler/src/session/session-state.ts
@@ -1,17 +1,11 @@
 import {type LogPosition, maxPosition} from '@dogwoodthread/coordination';
 import {type Access} from '../statement/index.js';
-
-/** A prepared statement, stored under the name that the client gave it. */
-export type PreparedStatement = {
-	access: Access;
-	shape: string;
-	/** Name of the statement at the endpoints, shared by all clients that prepared the same shape. */
-	sharedName: string;
-};
+import {createPreparedStatement, type PreparedStatement} from './prepared-statement.js';
 
 /** Session values and prepared statements of a client, kept here so that they can be set up on any endpoint connection. */
 export class SessionState {
 	readonly values = new Map<string, string>();
+	/** Prepared statements by the name that the client gave them. */
 	readonly prepared = new Map<string, PreparedStatement>();
 	#lastCommitPosition: LogPosition | undefined;
 
@@ -27,6 +21,6 @@
 	}
 
 	prepare(name: string, access: Access, shape: string): void {
-		this.prepared.set(name, {access, shape, sharedName: `${access === 'read' ? 'r' : 'w'}_${shape}`});
+		this.prepared.set(name, createPreparedStatement(access, shape));
 	}
 }
--- a/packages/pooler/src/session/single-statement.ts
+++ b/packages/pooler/src/session/single-statement.ts
@@ -4,7 +4,7 @@
 import {
 	discardConnection, type HeldConnection, type LocalOperation, type OperationContext, runCommand,
 } from './operation.js';
-import {type PreparedStatement} from './session-state.js';
+import {type PreparedStatement} from './prepared-statement.js';
 
 /** A read, write or prepared statement to run; `prepared` is set if the command executes a prepared statement. */
 export type SingleStatement = {
