Encode and decode each line of the protocol by its fields

What callers could see: a bare CR or LF in a statement went to the instance inside a line, EXECUTE with a trailing blank ran without it, an id - passed for a statement of the proxy's own, and text of another host with a character over U+00FF was cut to a byte, which can be a CR or LF.

Cause: the same class as the unasked statement, lines joined from text without a check of what a field may hold. A command is now a list of words and a last field; encodeLine joins them or returns a typed error, and nothing is sent. The parser accepts from clients only what can be sent on as it is. Answers to clients are checked the same way.

--- a/tap-snapshots/platform/test/wire.test.ts.test.cjs
+++ b/tap-snapshots/platform/test/wire.test.ts.test.cjs
@@ -142,3 +142,191 @@
   },
 ]
 `
+
+exports[`platform/test/wire.test.ts > TAP > statements that another party could read differently are refused > must match snapshot 1`] = `
+Array [
+  Array [
+    "COMMIT ",
+    Object {
+      "id": "q1",
+      "kind": "malformed",
+      "reason": "COMMIT takes nothing",
+    },
+  ],
+  Array [
+    "BEGIN ",
+    Object {
+      "id": "q1",
+      "kind": "malformed",
+      "reason": "BEGIN takes READ or nothing",
+    },
+  ],
+  Array [
+    "ROLLBACK ",
+    Object {
+      "id": "q1",
+      "kind": "malformed",
+      "reason": "ROLLBACK takes nothing",
+    },
+  ],
+  Array [
+    "READ ",
+    Object {
+      "id": "q1",
+      "kind": "malformed",
+      "reason": "READ takes an item",
+    },
+  ],
+  Array [
+    "READ a\\rb",
+    Object {
+      "id": "q1",
+      "kind": "malformed",
+      "reason": "a statement is one line without CR and LF in it",
+    },
+  ],
+  Array [
+    String(
+      READ a
+      QUERY q2 READ b
+    ),
+    Object {
+      "id": "q1",
+      "kind": "malformed",
+      "reason": "a statement is one line without CR and LF in it",
+    },
+  ],
+  Array [
+    "READ Ċ",
+    Object {
+      "id": "q1",
+      "kind": "malformed",
+      "reason": "a statement is one line without CR and LF in it",
+    },
+  ],
+  Array [
+    "WRITE  data",
+    Object {
+      "id": "q1",
+      "kind": "malformed",
+      "reason": "WRITE takes an item and data",
+    },
+  ],
+  Array [
+    "WRITE item ",
+    Object {
+      "id": "q1",
+      "kind": "malformed",
+      "reason": "WRITE takes an item and data",
+    },
+  ],
+  Array [
+    "SET name ",
+    Object {
+      "id": "q1",
+      "kind": "malformed",
+      "reason": "SET takes a name and a value",
+    },
+  ],
+  Array [
+    "SET  value",
+    Object {
+      "id": "q1",
+      "kind": "malformed",
+      "reason": "SET takes a name and a value",
+    },
+  ],
+  Array [
+    "PREPARE  READ shape",
+    Object {
+      "id": "q1",
+      "kind": "malformed",
+      "reason": "PREPARE takes a name, READ or WRITE, and a shape",
+    },
+  ],
+  Array [
+    "PREPARE s1 READ ",
+    Object {
+      "id": "q1",
+      "kind": "malformed",
+      "reason": "PREPARE takes a name, READ or WRITE, and a shape",
+    },
+  ],
+  Array [
+    String(
+      PREPARE s1 READ a
+      b
+    ),
+    Object {
+      "id": "q1",
+      "kind": "malformed",
+      "reason": "a statement is one line without CR and LF in it",
+    },
+  ],
+  Array [
+    "EXECUTE  item",
+    Object {
+      "id": "q1",
+      "kind": "malformed",
+      "reason": "EXECUTE takes a name and an item",
+    },
+  ],
+  Array [
+    "EXECUTE s1 ",
+    Object {
+      "id": "q1",
+      "kind": "malformed",
+      "reason": "EXECUTE takes a name and an item",
+    },
+  ],
+  Array [
+    "EXECUTE s1  data",
+    Object {
+      "id": "q1",
+      "kind": "malformed",
+      "reason": "EXECUTE takes a name and an item",
+    },
+  ],
+  Array [
+    "EXECUTE s1 item ",
+    Object {
+      "id": "q1",
+      "kind": "malformed",
+      "reason": "EXECUTE takes a name and an item",
+    },
+  ],
+  Array [
+    "DEALLOC a b",
+    Object {
+      "id": "q1",
+      "kind": "malformed",
+      "reason": "DEALLOC takes a name",
+    },
+  ],
+]
+`
+
+exports[`platform/test/wire.test.ts > TAP > statements that another party could read differently are refused > must match snapshot 2`] = `
+Array [
+  Object {
+    "id": "",
+    "kind": "malformed",
+    "reason": "QUERY takes an id other than -, and a statement",
+  },
+  Object {
+    "id": "-",
+    "kind": "malformed",
+    "reason": "QUERY takes an id other than -, and a statement",
+  },
+  Object {
+    "id": "a\\rb",
+    "kind": "malformed",
+    "reason": "QUERY takes an id other than -, and a statement",
+  },
+  Object {
+    "id": "Ċ",
+    "kind": "malformed",
+    "reason": "QUERY takes an id other than -, and a statement",
+  },
+]
+`
