Bound what stays prepared on a connection

Connections outlive their clients, and each kept every name that it was ever given; the name was the shape.

The host keeps names and lengths, no shapes.

--- a/packages/pooler/src/endpoint/definitions.ts
+++ b/packages/pooler/src/endpoint/definitions.ts
@@ -16,6 +16,8 @@
 	| {kind: 'resume'}
 	| {kind: 'set'; name: string; value: string}
 	| {kind: 'prepare'; name: string; access: Access; shape: string}
+	/** Removes a prepared statement, so that the endpoint need not keep it. */
+	| {kind: 'deallocate'; name: string}
 	/** Stops a replica from receiving until it is resumed, promoted or restarted. */
 	| {kind: 'fence'; term: number}
 	/** Demotes a primary of a lower term to a replica. */
--- a/packages/pooler/src/pool/connection-lease.ts
+++ b/packages/pooler/src/pool/connection-lease.ts
@@ -1,7 +1,7 @@
 import {err, type Result} from 'neverthrow';
 import {type EndpointAnswer, type EndpointCommand} from '../endpoint/index.js';
 import {type LeaseError} from './definitions.js';
-import {type PooledConnection} from './pooled-connection.js';
+import {type PooledConnection, type PreparedOnConnection} from './pooled-connection.js';
 
 /**
  * Exclusive use of a pooled connection, from its acquisition until the connection is given back. Commands are refused
@@ -10,7 +10,7 @@
 export class ConnectionLease {
 	#connection: PooledConnection | undefined;
 	readonly #values: ReadonlyMap<string, string>;
-	readonly #prepared: ReadonlySet<string>;
+	readonly #prepared: PreparedOnConnection;
 
 	constructor(connection: PooledConnection) {
 		this.#connection = connection;
@@ -24,7 +24,7 @@
 	}
 
 	/** Names of the statements that are prepared on the connection. */
-	get prepared(): ReadonlySet<string> {
+	get prepared(): PreparedOnConnection {
 		return this.#prepared;
 	}
 
--- a/packages/pooler/src/pool/pooled-connection.ts
+++ b/packages/pooler/src/pool/pooled-connection.ts
@@ -3,13 +3,17 @@
 	type ConnectionError, type EndpointAnswer, type EndpointCommand, type EndpointConnection,
 } from '../endpoint/index.js';
 import {type TransactionState} from '../statement/index.js';
+import {PreparedNames} from './prepared-names.js';
+
+/** What a user of a connection needs to know of the statements that are prepared on it. */
+export type PreparedOnConnection = Pick<PreparedNames, 'has' | 'namesToDeallocate'>;
 
 /** An endpoint connection together with the session state that is set up on it. */
 export class PooledConnection {
 	/** Monotonic time at which the connection was last released to the pool, in ms. */
 	idleSinceMs = 0;
 	readonly #values = new Map<string, string>();
-	readonly #prepared = new Set<string>();
+	readonly #prepared = new PreparedNames();
 	#runningCount = 0;
 	#transaction: TransactionState = 'idle';
 
@@ -30,7 +34,7 @@
 	}
 
 	/** Names of the statements that are prepared on the connection. */
-	get prepared(): ReadonlySet<string> {
+	get prepared(): PreparedOnConnection {
 		return this.#prepared;
 	}
 
@@ -52,14 +56,16 @@
 	/** Recorded here and not by the user of the connection, who may have given it up before the answer arrives. */
 	#recordAnswer(command: EndpointCommand, {error, transaction}: EndpointAnswer): void {
 		this.#transaction = transaction;
-		if (error) {
-			if (command.kind === 'execute' && error.code === 'unknown-statement') {
-				this.#prepared.delete(command.name);
-			}
+		if (error?.code === 'unknown-statement' && (command.kind === 'execute' || command.kind === 'deallocate')) {
+			this.#prepared.delete(command.name);
+		}
 
-			return;
+		if (!error) {
+			this.#recordEffect(command);
 		}
+	}
 
+	#recordEffect(command: EndpointCommand): void {
 		if (command.kind === 'reset') {
 			this.#values.clear();
 			this.#prepared.clear();
@@ -70,7 +76,15 @@
 		}
 
 		if (command.kind === 'prepare') {
-			this.#prepared.add(command.name);
+			this.#prepared.add(command.name, command.shape.length);
+		}
+
+		if (command.kind === 'execute') {
+			this.#prepared.touch(command.name);
+		}
+
+		if (command.kind === 'deallocate') {
+			this.#prepared.delete(command.name);
 		}
 	}
 }
--- a/packages/pooler/src/session/prepare-connection.ts
+++ b/packages/pooler/src/session/prepare-connection.ts
@@ -26,7 +26,8 @@
 			return err(answer.error);
 		}
 
-		if (answer.value.error) {
+		const isGone = command.kind === 'deallocate' && answer.value.error?.code === 'unknown-statement';
+		if (answer.value.error && !isGone) {
 			return err({kind: 'refused', message: `${command.kind} was refused: ${answer.value.error.text}`});
 		}
 
@@ -53,5 +54,8 @@
 			kind: 'prepare', name: statement.sharedName, access: statement.access, shape: statement.shape,
 		}]
 		: [];
-	return [...(needsReset ? [{kind: 'reset'} as const] : []), ...values, ...prepare];
+	const deallocate = needsPrepare && !needsReset
+		? connection.prepared.namesToDeallocate(statement.shape.length).map((name): EndpointCommand => ({kind: 'deallocate', name}))
+		: [];
+	return [...(needsReset ? [{kind: 'reset'} as const] : []), ...values, ...deallocate, ...prepare];
 }
