Tell the client at once if an instance refuses what it has prepared

What callers saw: a statement whose PREPARE or SET an instance refuses for good was tried on one connection after the other, each closed after it, until its time was over, and was then refused as busy, so that the client tried again.

Cause: any refusal during the preparation of a connection counted as a trouble of the connection. Now only busy is tried again; any other refusal ends the statement with the instance's error and the reason preparation-refused, and the connection goes back to the pool.

--- a/packages/ctl/src/commands/explain/domain/explain-request.ts
+++ b/packages/ctl/src/commands/explain/domain/explain-request.ts
@@ -47,6 +47,7 @@
 	'connection-lost': 'the connection to the instance or the holder ended before the answer',
 	'endpoint-silent': 'the instance did not answer within the time of the statement',
 	'endpoint-error': 'the instance refused or failed the statement',
+	'preparation-refused': 'the instance refused a session value or a prepared statement of the session',
 	'transaction-failed': 'an earlier statement of the transaction had failed',
 	'idle-in-transaction': 'the client was idle in the transaction for longer than the configuration allows',
 	'shutting-down': 'the host was stopping',
--- a/packages/pooler/src/session/errors.ts
+++ b/packages/pooler/src/session/errors.ts
@@ -13,7 +13,7 @@
 export type FailureReason =
 	| 'unknown-database' | 'unknown-service' | 'malformed' | 'unknown-statement' | 'transaction-failed' | 'no-transaction'
 	| 'leader-unknown' | 'leader-stalled' | 'endpoint-unreachable' | 'not-reachable' | 'leadership-unproven' | 'position-unknown' | 'no-reader' | 'no-connection' | 'connection-lost'
-	| 'arrived-late' | 'commit-unconfirmed' | 'endpoint-silent' | 'endpoint-error' | 'idle-in-transaction' | 'shutting-down' | 'interrupted' | 'internal-error';
+	| 'arrived-late' | 'commit-unconfirmed' | 'endpoint-silent' | 'endpoint-error' | 'preparation-refused' | 'idle-in-transaction' | 'shutting-down' | 'interrupted' | 'internal-error';
 
 const failures: Record<FailureReason, {code: ErrorCode; text: string}> = {
 	'unknown-database': {code: 'unknown-database', text: 'no database of this name is configured; check the name'},
@@ -35,6 +35,7 @@
 	'commit-unconfirmed': {code: 'in-doubt', text: 'no other instance was seen to have the commit in time, so it may be lost when the primary is replaced; read back before repeating'},
 	'endpoint-silent': {code: 'timeout', text: 'the instance did not answer in time; read back before repeating'},
 	'endpoint-error': {code: 'failed', text: 'the instance refused the statement'},
+	'preparation-refused': {code: 'malformed', text: 'the instance refused a session value or a prepared statement; change it'},
 	'idle-in-transaction': {code: 'aborted', text: 'the transaction was idle for too long and was rolled back; repeat it'},
 	'shutting-down': {code: 'aborted', text: 'this host is stopping and rolled the transaction back; repeat it on a new connection'},
 	interrupted: {code: 'in-doubt', text: 'this host stopped before the instance had answered; read back on a new connection before repeating'},
@@ -48,3 +49,7 @@
 	({
 		code, text, reason: 'endpoint-error', fromEndpoint: true,
 	});
+
+/** As `endpointFailure`, for a session value or a prepared statement that the endpoint refused; the statement itself has not run. */
+export const preparationFailure = (error: {code: ErrorCode; text: string}): StatementFailure =>
+	({...endpointFailure(error), reason: 'preparation-refused'});
--- a/packages/pooler/src/session/prepare-connection.ts
+++ b/packages/pooler/src/session/prepare-connection.ts
@@ -1,5 +1,5 @@
 import {err, ok, type Result} from 'neverthrow';
-import {type EndpointCommand} from '../endpoint/index.js';
+import {type EndpointAnswer, type EndpointCommand} from '../endpoint/index.js';
 import {type EventLog} from '../observability/index.js';
 import {type ConnectionLease, type LeaseError} from '../pool/index.js';
 import {type HeldConnection, type Operation} from './operation.js';
@@ -7,7 +7,7 @@
 import {type SessionState} from './session-state.js';
 
 /** The session state could not be set up on the connection; the statement was not sent. */
-export type PrepareError = LeaseError | {kind: 'refused'; message: string};
+export type PrepareError = LeaseError | {kind: 'refused'; message: string; refusal: NonNullable<EndpointAnswer['error']>};
 
 /**
  * Sets up the session values and the prepared statement of the session on a connection. Waits for the answer to each
@@ -26,9 +26,10 @@
 			return err(answer.error);
 		}
 
-		const isGone = command.kind === 'deallocate' && answer.value.error?.code === 'unknown-statement';
-		if (answer.value.error && !isGone) {
-			return err({kind: 'refused', message: `${command.kind} was refused: ${answer.value.error.text}`});
+		const {error: refusal} = answer.value;
+		const isGone = command.kind === 'deallocate' && refusal?.code === 'unknown-statement';
+		if (refusal && !isGone) {
+			return err({kind: 'refused', message: `${command.kind} was refused: ${refusal.text}`, refusal});
 		}
 
 		if (command.kind === 'prepare') {
@@ -42,6 +43,13 @@
 	return ok();
 }
 
+/**
+ * The endpoint's reason if it refuses what the client has set or prepared, as it would the next time too; undefined if
+ * the preparation may succeed on another connection.
+ */
+export const lastingRefusal = (error: PrepareError): NonNullable<EndpointAnswer['error']> | undefined =>
+	error.kind === 'refused' && error.refusal.code !== 'busy' ? error.refusal : undefined;
+
 function preparationCommands(connection: ConnectionLease, session: SessionState, statement: PreparedStatement | undefined): EndpointCommand[] {
 	const needsReset = [...connection.values.keys()].some(name => !session.values.has(name));
 	const currentValues = needsReset ? new Map<string, string>() : connection.values;
--- a/packages/pooler/src/session/run-bounded-read.ts
+++ b/packages/pooler/src/session/run-bounded-read.ts
@@ -5,7 +5,7 @@
 import {
 	acquireReaderConnection, discardConnection, type HeldConnection, type LocalOperation, type OperationContext, awaitRequiredPosition, type CommandResult,
 } from './operation.js';
-import {prepareConnection} from './prepare-connection.js';
+import {lastingRefusal, prepareConnection} from './prepare-connection.js';
 import {runUnlessSilent} from './run-unless-silent.js';
 import {
 	type AttemptOutcome, retryDelayMs, finalOutcome, notRunOutcome, type SingleResult, type SingleStatement,
@@ -125,6 +125,12 @@
 	const remainingMs = () => operation.deadlineMs - context.timers.nowMs();
 	const ready = await prepareConnection(held, operation, statement.prepared, {timeoutMs: remainingMs(), events: context.events});
 	if (ready.isErr()) {
+		const error = lastingRefusal(ready.error);
+		if (error) {
+			held.member.pool.release(held.connection);
+			return ok({rows: [], error, transaction: 'idle'});
+		}
+
 		discardConnection(held, ready.error.kind === 'silent');
 		return err('lost');
 	}
--- a/packages/pooler/src/session/run-primary-read.ts
+++ b/packages/pooler/src/session/run-primary-read.ts
@@ -6,7 +6,7 @@
 import {prepareConnection} from './prepare-connection.js';
 import {runUnlessSilent} from './run-unless-silent.js';
 import {
-	type AttemptOutcome, finalOutcome, notRunOutcome, handleEndpointError, retryWhileNotRun, rollBackAndRelease, type SingleResult, type SingleStatement,
+	type AttemptOutcome, finalOutcome, notRunOutcome, handleEndpointError, handlePrepareError, retryWhileNotRun, rollBackAndRelease, type SingleResult, type SingleStatement,
 } from './single-statement.js';
 
 /**
@@ -32,8 +32,7 @@
 
 	const ready = await prepareConnection(held, operation, statement.prepared, {timeoutMs: remainingMs(), events: context.events});
 	if (ready.isErr()) {
-		discardConnection(held, ready.error.kind === 'silent');
-		return notRunOutcome(statementFailure('no-reader'));
+		return handlePrepareError(ready.error, held);
 	}
 
 	const begun = await runUnlessSilent(held, {kind: 'begin', readOnly: false}, remainingMs(), context.timers);
--- a/packages/pooler/src/session/run-write.ts
+++ b/packages/pooler/src/session/run-write.ts
@@ -5,7 +5,7 @@
 } from './operation.js';
 import {prepareConnection} from './prepare-connection.js';
 import {
-	type AttemptOutcome, finalOutcome, notRunOutcome, handleEndpointError, retryWhileNotRun, type SingleResult, type SingleStatement,
+	type AttemptOutcome, finalOutcome, notRunOutcome, handleEndpointError, handlePrepareError, retryWhileNotRun, type SingleResult, type SingleStatement,
 } from './single-statement.js';
 
 /** Runs a write at the primary. Retries it only while it is known not to have run. */
@@ -23,8 +23,7 @@
 	const remainingMs = () => operation.deadlineMs - context.timers.nowMs();
 	const ready = await prepareConnection(held, operation, statement.prepared, {timeoutMs: remainingMs(), events: context.events});
 	if (ready.isErr()) {
-		discardConnection(held, ready.error.kind === 'silent');
-		return notRunOutcome(statementFailure('no-reader'));
+		return handlePrepareError(ready.error, held);
 	}
 
 	const {answer, sentAtMs} = await runCommitCommand(held, statement.command, operation, context.timers);
--- a/packages/pooler/src/session/single-statement.ts
+++ b/packages/pooler/src/session/single-statement.ts
@@ -1,9 +1,12 @@
 import {err, type Result} from 'neverthrow';
 import {type EndpointAnswer, type EndpointCommand} from '../endpoint/index.js';
-import {endpointFailure, statementFailure, type StatementFailure} from './errors.js';
+import {
+	endpointFailure, preparationFailure, statementFailure, type StatementFailure,
+} from './errors.js';
 import {
 	discardConnection, type HeldConnection, type LocalOperation, type OperationContext, runCommand,
 } from './operation.js';
+import {lastingRefusal, type PrepareError} from './prepare-connection.js';
 import {type PreparedStatement} from './prepared-statement.js';
 
 /** A read, write or prepared statement to run; `prepared` is set if the command executes a prepared statement. */
@@ -66,6 +69,18 @@
 		: finalOutcome(err(endpointFailure(error)));
 }
 
+/** Outcome of a statement whose session state could not be set up on the connection, which is given back: nothing of the statement has run. */
+export function handlePrepareError(error: PrepareError, held: HeldConnection): AttemptOutcome {
+	const refusal = lastingRefusal(error);
+	if (refusal) {
+		held.member.pool.release(held.connection);
+		return finalOutcome(err(preparationFailure(refusal)));
+	}
+
+	discardConnection(held, error.kind === 'silent');
+	return notRunOutcome(statementFailure('no-reader'));
+}
+
 /** Timeout for a rollback, in ms; short, because a rollback is no work for the endpoint. */
 const rollbackTimeoutMs = 1000;
 
--- a/packages/pooler/src/session/transaction.ts
+++ b/packages/pooler/src/session/transaction.ts
@@ -1,13 +1,15 @@
 import {err, ok, type Result} from 'neverthrow';
 import {type EndpointAnswer, type EndpointCommand} from '../endpoint/index.js';
 import {type Group} from '../group/index.js';
-import {endpointFailure, statementFailure, type StatementFailure} from './errors.js';
+import {
+	endpointFailure, preparationFailure, statementFailure, type StatementFailure,
+} from './errors.js';
 import {
 	acquireLeaderConnection, acquireReaderConnection, confirmCommit, discardConnection, type HeldConnection, type LocalOperation,
 	type Operation, type OperationContext, awaitRequiredPosition, proveLeadership, runCommitCommand, runCommand,
 } from './operation.js';
 import {type TransactionHandle} from './executor.js';
-import {prepareConnection} from './prepare-connection.js';
+import {lastingRefusal, prepareConnection} from './prepare-connection.js';
 import {runUnlessSilent} from './run-unless-silent.js';
 import {rollBackAndRelease, type SingleStatement} from './single-statement.js';
 import {type SessionState} from './session-state.js';
@@ -61,7 +63,8 @@
 		}
 
 		if (ready.isErr()) {
-			return this.#failAfterConnectionLoss(held, ready.error.kind === 'silent');
+			const refusal = lastingRefusal(ready.error);
+			return refusal ? this.#fail(preparationFailure(refusal)) : this.#failAfterConnectionLoss(held, ready.error.kind === 'silent');
 		}
 
 		this.#hasWritten ||= isWrite;
@@ -222,7 +225,7 @@
 
 				lastFailure = begun.error;
 				const isMoveDue = lastFailure.reason === 'endpoint-unreachable' || (operation.mayMove && lastFailure.reason === 'leadership-unproven');
-				if (!canUseReader && isMoveDue) {
+				if (lastFailure.reason === 'preparation-refused' || (!canUseReader && isMoveDue)) {
 					break;
 				}
 
@@ -248,6 +251,12 @@
 		// Session values are set before the transaction begins, because an endpoint may refuse to reset them inside one.
 		const ready = await prepareConnection(held, {id: operation.id, session}, undefined, {timeoutMs: this.#remainingMs(operation), events: context.events});
 		if (ready.isErr()) {
+			const refusal = lastingRefusal(ready.error);
+			if (refusal) {
+				held.member.pool.release(held.connection);
+				return err(preparationFailure(refusal));
+			}
+
 			discardConnection(held, ready.error.kind === 'silent');
 			return err(statementFailure('no-reader'));
 		}
--- a/packages/pooler/test/session/session.test.ts
+++ b/packages/pooler/test/session/session.test.ts
@@ -236,3 +236,44 @@
 	}));
 	t.same(outcomes.filter(({isRunAfterClose, connectionsInUse}) => isRunAfterClose || connectionsInUse > 0), []);
 });
+
+// Guards against a client whose statement can never be prepared, and for which connections are closed and opened until its time is over.
+test('a value or a statement that the endpoints refuse is told to the client at once', async t => {
+	const set: ClientStatement = {
+		kind: 'set', id: 's', name: 'lang', value: 'en',
+	};
+	const prepare = (access: 'read' | 'write'): ClientStatement => ({
+		kind: 'prepare', id: 'p', name: 's1', access, shape: 'q2c',
+	});
+	const execute: ClientStatement = {
+		kind: 'execute', id: 'e', name: 's1', argument: 'x 1',
+	};
+	const cases: Array<[database: string, refused: 'set' | 'prepare', statements: ClientStatement[]]> = [
+		['holds', 'prepare', [prepare('read'), execute]],
+		['holds', 'prepare', [prepare('write'), execute]],
+		['boards', 'prepare', [prepare('read'), execute]],
+		['holds', 'prepare', [begin, prepare('write'), execute, commit]],
+		['holds', 'set', [set, write]],
+		['boards', 'set', [set, read]],
+		['holds', 'set', [set, begin, write, commit]],
+	];
+	for (const [database, refused, statements] of cases) {
+		const fixture = await new SessionFixture().start();
+		const connectionsBefore = [...fixture.fakes.values()].map(({lastConnectionNumber}) => lastConnectionNumber);
+		for (const fake of fixture.fakes.values()) {
+			fake.faults.set(refused, Array.from({length: 1000}, () => 'refused'));
+		}
+
+		const session = fixture.open(database);
+		const startedMs = fixture.timers.nowMs();
+		const answers: string[] = [];
+		for (const statement of statements) {
+			answers.push(await fixture.send(session, statement));
+		}
+
+		t.matchSnapshot([database, refused, statements.map(({kind}) => kind), answers]);
+		t.ok(fixture.timers.nowMs() - startedMs < 500, `after ${fixture.timers.nowMs() - startedMs} ms`);
+		const opened = [...fixture.fakes.values()].map(({lastConnectionNumber}, index) => lastConnectionNumber - connectionsBefore[index]!);
+		t.ok(opened.every(count => count <= 1), `connections opened: ${opened.join(', ')}`);
+	}
+});
--- a/tap-snapshots/packages/pooler/test/session/session.test.ts.test.cjs
+++ b/tap-snapshots/packages/pooler/test/session/session.test.ts.test.cjs
@@ -5,6 +5,119 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
+exports[`packages/pooler/test/session/session.test.ts > TAP > a value or a statement that the endpoints refuse is told to the client at once > must match snapshot 1`] = `
+Array [
+  "holds",
+  "prepare",
+  Array [
+    "prepare",
+    "execute",
+  ],
+  Array [
+    "- idle",
+    "malformed idle",
+  ],
+]
+`
+
+exports[`packages/pooler/test/session/session.test.ts > TAP > a value or a statement that the endpoints refuse is told to the client at once > must match snapshot 2`] = `
+Array [
+  "holds",
+  "prepare",
+  Array [
+    "prepare",
+    "execute",
+  ],
+  Array [
+    "- idle",
+    "malformed idle",
+  ],
+]
+`
+
+exports[`packages/pooler/test/session/session.test.ts > TAP > a value or a statement that the endpoints refuse is told to the client at once > must match snapshot 3`] = `
+Array [
+  "boards",
+  "prepare",
+  Array [
+    "prepare",
+    "execute",
+  ],
+  Array [
+    "- idle",
+    "malformed idle",
+  ],
+]
+`
+
+exports[`packages/pooler/test/session/session.test.ts > TAP > a value or a statement that the endpoints refuse is told to the client at once > must match snapshot 4`] = `
+Array [
+  "holds",
+  "prepare",
+  Array [
+    "begin",
+    "prepare",
+    "execute",
+    "commit",
+  ],
+  Array [
+    "- open",
+    "- open",
+    "malformed failed",
+    "aborted idle",
+  ],
+]
+`
+
+exports[`packages/pooler/test/session/session.test.ts > TAP > a value or a statement that the endpoints refuse is told to the client at once > must match snapshot 5`] = `
+Array [
+  "holds",
+  "set",
+  Array [
+    "set",
+    "write",
+  ],
+  Array [
+    "- idle",
+    "malformed idle",
+  ],
+]
+`
+
+exports[`packages/pooler/test/session/session.test.ts > TAP > a value or a statement that the endpoints refuse is told to the client at once > must match snapshot 6`] = `
+Array [
+  "boards",
+  "set",
+  Array [
+    "set",
+    "read",
+  ],
+  Array [
+    "- idle",
+    "malformed idle",
+  ],
+]
+`
+
+exports[`packages/pooler/test/session/session.test.ts > TAP > a value or a statement that the endpoints refuse is told to the client at once > must match snapshot 7`] = `
+Array [
+  "holds",
+  "set",
+  Array [
+    "set",
+    "begin",
+    "write",
+    "commit",
+  ],
+  Array [
+    "- idle",
+    "- open",
+    "malformed failed",
+    "aborted idle",
+  ],
+]
+`
+
 exports[`packages/pooler/test/session/session.test.ts > TAP > bounded read, connections lost at all members > answers and what ran 1`] = `
 Object {
   "answers": Array [
