Refuse names of objects that a path cannot hold

A caller of the Connect product that names the database `..` makes the proxy ask the platform for `/v1/objects/` instead of an object of kind groups, and a name with half of a surrogate pair (possible in JSON) ends the caller's request with an internal error instead of `unknown-database`.

Cause: names were encoded with encodeURIComponent, which leaves `.` and `..` as they are, although they are steps of the path of a URL, and which throws URIError for unpaired surrogates, outside of the part of the call that turns errors into results. An empty name is the path of the list.

Ruled out: `/`, `%`, `?`, `#`, line ends, blanks and `__proto__` in names are encoded and read back as they were (in the same test, passing before).

Why it works: one function encodes a name as one part of a path or refuses it with `not-found`, which is what such a name means: no object can have it. Nothing is sent.

--- a/packages/coordination/src/platform/infra/memory-platform.ts
+++ b/packages/coordination/src/platform/infra/memory-platform.ts
@@ -4,6 +4,7 @@
 	type ObjectKind, type Platform, type PlatformError, type PlatformErrorKind, type PlatformHost, type PlatformObject,
 	type WatchBatch,
 } from '../definitions.js';
+import {encodeObjectName} from '../domain/object-name.js';
 
 /** Largest serialised value that the platform accepts. */
 export const maxValueBytes = 1024 * 1024;
@@ -22,12 +23,14 @@
 	#revision = 0;
 
 	get(kind: ObjectKind, name: string): ResultAsync<PlatformObject, PlatformError> {
-		const stored = this.#objects.get(kind)?.get(name);
-		return stored?.value === undefined
-			? errAsync(platformError('not-found', `No object ${kind}/${name}; create it first.`))
-			: okAsync({
-				kind, name, version: stored.version, value: JSON.parse(stored.value) as unknown,
-			});
+		return encodeObjectName(name).asyncAndThen(() => {
+			const stored = this.#objects.get(kind)?.get(name);
+			return stored?.value === undefined
+				? errAsync(platformError('not-found', `No object ${kind}/${name}; create it first.`))
+				: okAsync({
+					kind, name, version: stored.version, value: JSON.parse(stored.value) as unknown,
+				});
+		});
 	}
 
 	list(kind: ObjectKind): ResultAsync<{objects: PlatformObject[]; revision: number}, PlatformError> {
@@ -45,11 +48,11 @@
 			return errAsync(platformError('too-large', `Object ${kind}/${name} is over ${maxValueBytes} bytes; split or shorten it.`));
 		}
 
-		return this.#write(kind, name, text, expectedVersion);
+		return encodeObjectName(name).asyncAndThen(() => this.#write(kind, name, text, expectedVersion));
 	}
 
 	remove(kind: ObjectKind, name: string, expectedVersion: number): ResultAsync<void, PlatformError> {
-		return this.#write(kind, name, undefined, expectedVersion).map(() => undefined);
+		return encodeObjectName(name).asyncAndThen(() => this.#write(kind, name, undefined, expectedVersion)).map(() => undefined);
 	}
 
 	watch(kind: ObjectKind, revision: number, waitMs: number): ResultAsync<WatchBatch, PlatformError> {
--- a/packages/proxy/src/platform/infra/http-platform.ts
+++ b/packages/proxy/src/platform/infra/http-platform.ts
@@ -1,5 +1,5 @@
 import {
-	type ObjectKind, type Platform, type PlatformError, type PlatformErrorKind, type PlatformHost, type PlatformObject,
+	encodeObjectName, type ObjectKind, type Platform, type PlatformError, type PlatformErrorKind, type PlatformHost, type PlatformObject,
 	type WatchBatch,
 } from '@dogwoodthread/coordination';
 import {
@@ -49,8 +49,6 @@
 	return expectedVersion === 0 ? {'if-none-match': '*'} : {'if-match': `"${expectedVersion}"`};
 };
 
-const objectPath = (kind: ObjectKind, name: string): string => `/v1/objects/${kind}/${encodeURIComponent(name)}`;
-
 /** A refused connection is the only transport error after which a write cannot have taken effect. */
 const isConnectionRefused = (error: unknown): boolean =>
 	error instanceof Error && (error.cause as {code?: unknown} | undefined)?.code === 'ECONNREFUSED';
@@ -75,7 +73,7 @@
 	}
 
 	get(kind: ObjectKind, name: string): ResultAsync<PlatformObject, PlatformError> {
-		return this.#call({method: 'GET', path: objectPath(kind, name), schema: objectResponseSchema})
+		return this.#callObject(kind, name, {method: 'GET', schema: objectResponseSchema})
 			.map(({version, value}) => ({
 				kind, name, version, value,
 			}));
@@ -87,15 +85,13 @@
 	}
 
 	put(kind: ObjectKind, name: string, value: unknown, expectedVersion: number): ResultAsync<number, PlatformError> {
-		return this.#call({
-			method: 'PUT', path: objectPath(kind, name), schema: putResponseSchema, value, expectedVersion,
+		return this.#callObject(kind, name, {
+			method: 'PUT', schema: putResponseSchema, value, expectedVersion,
 		}).map(({version}) => version);
 	}
 
 	remove(kind: ObjectKind, name: string, expectedVersion: number): ResultAsync<void, PlatformError> {
-		return this.#call({
-			method: 'DELETE', path: objectPath(kind, name), schema: removeResponseSchema, expectedVersion,
-		}).map(() => undefined);
+		return this.#callObject(kind, name, {method: 'DELETE', schema: removeResponseSchema, expectedVersion}).map(() => undefined);
 	}
 
 	watch(kind: ObjectKind, revision: number, waitMs: number): ResultAsync<WatchBatch, PlatformError> {
@@ -124,6 +120,10 @@
 		return decoded.flatMap(({success, data}) => success ? [data] : []);
 	}
 
+	#callObject<T>(kind: ObjectKind, name: string, call: Omit<PlatformCall<T>, 'path'>): ResultAsync<T, PlatformError> {
+		return encodeObjectName(name).asyncAndThen(encoded => this.#call({...call, path: `/v1/objects/${kind}/${encoded}`}));
+	}
+
 	#call<T>(call: PlatformCall<T>): ResultAsync<T, PlatformError> {
 		return new ResultAsync(this.#perform(call));
 	}
--- a/packages/proxy/test/platform/platform-contract.ts
+++ b/packages/proxy/test/platform/platform-contract.ts
@@ -1,6 +1,6 @@
 import {type Platform, type PlatformHost, maxValueBytes} from '@dogwoodthread/coordination';
 import {type Test} from 'tap';
-import {expectValue} from './results.js';
+import {expectError, expectValue} from './results.js';
 
 /** Implementation under test; `setHosts` stands in for whoever maintains the list of hosts. */
 export type PlatformUnderTest = {platform: Platform; setHosts: (hosts: PlatformHost[]) => void};
@@ -64,6 +64,26 @@
 		const accepted = await platform.put('document', 'd', 'x'.repeat(maxValueBytes - 2), 0);
 		t.ok(accepted.isOk());
 	},
+	// Guards against a name that is the path of other objects, or of none, and one that ends the caller's task instead of the call.
+	async 'a name is one part of a path, or names no object'(t, {platform}) {
+		const names = ['a/../b', '%2e%2e', 'a?x=1#y', ' ', '\u00E9/\u4E2D', '__proto__', 'a\r\nb', '...'];
+		for (const [index, name] of names.entries()) {
+			await expectValue(platform.put('groups', name, {index}, 0));
+		}
+
+		for (const [index, name] of names.entries()) {
+			t.match(await expectValue(platform.get('groups', name)), {name, value: {index}}, name);
+		}
+
+		const {objects} = await expectValue(platform.list('groups'));
+		t.same(objects.map(({name}) => name).toSorted(), names.toSorted());
+		for (const name of ['', '.', '..', '\uD800', 'a\uDC00']) {
+			const refusal = {kind: 'not-found', outcomeKnown: true, message: /rename it/};
+			t.match(await expectError(platform.get('groups', name)), refusal, JSON.stringify(name));
+			t.match(await expectError(platform.put('groups', name, 1, 0)), refusal);
+			t.match(await expectError(platform.remove('groups', name, 1)), refusal);
+		}
+	},
 	async 'hosts returns the maintained list'(t, {platform, setHosts}) {
 		setHosts([leavingHost]);
 		t.same(await expectValue(platform.hosts()), [leavingHost]);
