explain: keep text of clients and instances within its field

`dogwoodctl explain` prints the id `q1`, a line end and `2023-11-14T22:13:20.000Z front-z +1 ms request-served requestId=q9` as two lines, of which the second says that another request was served; escape sequences of a client act on the operator's terminal, and a blank followed by `code=served` is a field.

Cause: ids, databases and error texts are text of clients and instances (a bare CR or LF may be part of a line of the protocol). The log holds them as JSON, but `explain` joined them into lines and `name=value` fields as they were.

Evidence: the new test, seven texts in an id, a database and an error message. Before: of its 23 assertions 7 fail (four texts make further lines, two reach the terminal, one is a field of its own). After: all pass.

Ruled out: the daemon's log itself. It is JSON, written by pino, which escapes control characters up to U+001F; `--json` prints JSON.

Why it works: each text of another party passes one function on its way into a line, which escapes characters that end lines, control terminals or change the direction of the text, and the escape character itself; field values with blanks, `=` or quotes are quoted.

--- a/packages/ctl/src/commands/explain/core/explain-command.ts
+++ b/packages/ctl/src/commands/explain/core/explain-command.ts
@@ -1,5 +1,5 @@
 import {
-	type Command, type CommandContext, type ExitCode, UsageError,
+	type Command, type CommandContext, type ExitCode, toFieldValue, toInlineText, UsageError,
 } from '../../../cli/index.js';
 import {findLogGaps} from '../domain/log-gaps.js';
 import {explainRequest} from '../domain/explain-request.js';
@@ -65,7 +65,7 @@
 		json: {
 			event: 'not-found', requestId, lines: lines.length, damaged, absences: gaps.length,
 		},
-		text: `No line names ${requestId} in ${lines.length} lines (${damaged} damaged). Of the served requests one in 32 has a line; give the logs of all hosts. ${explanation}`,
+		text: `No line names ${toInlineText(requestId)} in ${lines.length} lines (${damaged} damaged). Of the served requests one in 32 has a line; give the logs of all hosts. ${explanation}`,
 	});
 	for (const {text, ...json} of gaps.slice(0, maxListedGaps)) {
 		print({json: {event: 'absence', ...json}, text: `  ${text}`});
@@ -82,18 +82,18 @@
 	const failedLines = lines.filter(line => failureEvents.has(line.event) && line.database === database && line.time >= range.fromMs && line.time <= range.toMs);
 	for (const line of failedLines.toSorted((a, b) => a.time - b.time)) {
 		const requestId = typeof line.requestId === 'string' ? line.requestId : undefined;
-		const cause = (requestId && explainRequest(lines, requestId)?.cause) ?? `Refused at ${line.hostId}: ${String(line.code)}.`;
+		const cause = (requestId && explainRequest(lines, requestId)?.cause) ?? `Refused at ${toInlineText(line.hostId)}: ${toInlineText(String(line.code))}.`;
 		print({
 			json: {
 				event: 'cause', time: line.time, requestId, cause,
-			}, text: `${new Date(line.time).toISOString()} ${requestId ?? 'session'}: ${cause}`,
+			}, text: `${new Date(line.time).toISOString()} ${toInlineText(requestId ?? 'session')}: ${cause}`,
 		});
 	}
 
 	print({
 		json: {
 			event: 'total', database, failed: failedLines.length, lines: lines.length, damaged,
-		}, text: `${failedLines.length} failed requests of ${database} in ${lines.length} lines (${damaged} damaged).`,
+		}, text: `${failedLines.length} failed requests of ${toInlineText(database)} in ${lines.length} lines (${damaged} damaged).`,
 	});
 	return 0;
 }
@@ -108,6 +108,6 @@
 }
 
 function formatLine({time, hostId, event, monotonicMs, level, ...fields}: Record<string, unknown>): string {
-	const fieldTexts = Object.entries(fields).filter(([, value]) => value !== undefined).map(([name, value]) => `${name}=${String(value)}`);
-	return `${new Date(Number(time)).toISOString()} ${String(hostId)} +${String(monotonicMs)} ms ${String(event)} ${fieldTexts.join(' ')}`;
+	const fieldTexts = Object.entries(fields).filter(([, value]) => value !== undefined).map(([name, value]) => `${toInlineText(name)}=${toFieldValue(value)}`);
+	return `${new Date(Number(time)).toISOString()} ${toInlineText(String(hostId))} +${String(monotonicMs)} ms ${toInlineText(String(event))} ${fieldTexts.join(' ')}`;
 }
--- a/packages/ctl/src/commands/explain/domain/explain-request.ts
+++ b/packages/ctl/src/commands/explain/domain/explain-request.ts
@@ -1,3 +1,4 @@
+import {toInlineText} from '../../../cli/index.js';
 import {type LogLine} from './log-lines.js';
 
 export type Explanation = {
@@ -34,7 +35,7 @@
 	'process-stopping',
 ]);
 
-const causeTexts: Record<string, string> = {
+const causeTexts: ReadonlyMap<string, string> = new Map(Object.entries({
 	'leader-unknown': 'no primary was known for the whole time of the statement',
 	'leader-stalled': 'the primary confirmed no writes and no replica answered, so nothing could be promoted',
 	'leadership-unproven': 'no replica or store confirmed in time that the primary had not been replaced',
@@ -57,7 +58,7 @@
 	'unknown-statement': 'the session has no prepared statement of that name',
 	malformed: 'the statement was not valid at that point',
 	'unknown-database': 'the configuration in force had no route for the database',
-};
+}));
 
 /** Joins the log lines of all hosts about one request; undefined if no line names it. */
 export function explainRequest(allLines: readonly LogLine[], requestId: string): Explanation | undefined {
@@ -92,21 +93,22 @@
 
 function describeCause(line: LogLine, context: readonly LogLine[]): string {
 	const {reason} = line;
+	const host = toInlineText(line.hostId);
 	if (line.event === 'client-left') {
-		return `The client closed its connection to ${line.hostId} ${String(line.waitedMs)} ms after it had sent the statement, before there was an answer.${describeLatestChange(line, context)}`;
+		return `The client closed its connection to ${host} ${String(line.waitedMs)} ms after it had sent the statement, before there was an answer.${describeLatestChange(line, context)}`;
 	}
 
 	if (typeof reason !== 'string') {
-		return `Served at ${line.hostId} after ${String(line.totalMs)} ms${describeStages(line)}.${describeLatestChange(line, context)}`;
+		return `Served at ${host} after ${String(line.totalMs)} ms${describeStages(line)}.${describeLatestChange(line, context)}`;
 	}
 
-	const detail = typeof line.detail === 'string' ? ` (${line.detail})` : '';
-	return `Ended with ${String(line.code)} at ${line.hostId}: ${causeTexts[reason] ?? reason}${detail}.${describeLatestChange(line, context)}`;
+	const detail = typeof line.detail === 'string' ? ` (${toInlineText(line.detail)})` : '';
+	return `Ended with ${toInlineText(String(line.code))} at ${host}: ${causeTexts.get(reason) ?? toInlineText(reason)}${detail}.${describeLatestChange(line, context)}`;
 }
 
 function describeLatestChange(line: LogLine, context: readonly LogLine[]): string {
 	const latest = context.filter(change => isSameIncarnation(change, line)).toSorted((a, b) => a.monotonicMs - b.monotonicMs).at(-1);
-	return latest ? ` Latest state change on this host: ${latest.event} ${Math.round(line.monotonicMs - latest.monotonicMs)} ms earlier.` : '';
+	return latest ? ` Latest state change on this host: ${toInlineText(latest.event)} ${Math.round(line.monotonicMs - latest.monotonicMs)} ms earlier.` : '';
 }
 
 /** Describes where the time of a served statement was spent; the remainder is at the instance or the owner. */
--- a/packages/ctl/src/commands/explain/domain/log-gaps.ts
+++ b/packages/ctl/src/commands/explain/domain/log-gaps.ts
@@ -1,3 +1,4 @@
+import {toInlineText} from '../../../cli/index.js';
 import {type LogLine} from './log-lines.js';
 
 /** A possible reason why a request has no line in the logs. */
@@ -35,7 +36,7 @@
 		return last && !hasStopped
 			? [{
 				kind: 'ended-abruptly' as const, hostId: start.hostId, fromMs: last.time, untilMs: start.time,
-				text: `${start.hostId} ended without a stop after ${formatTime(last.time)} and was back at ${formatTime(start.time)}: what it was running then has no line.`,
+				text: `${toInlineText(start.hostId)} ended without a stop after ${formatTime(last.time)} and was back at ${formatTime(start.time)}: what it was running then has no line.`,
 			}]
 			: [];
 	});
@@ -49,7 +50,7 @@
 		return last.event !== 'process-stopped' && newestMs - last.time > silenceThresholdMs
 			? [{
 				kind: 'ended-abruptly' as const, hostId, fromMs: last.time, untilMs: newestMs,
-				text: `${hostId} has no line after ${formatTime(last.time)}, without a stop: it was lost, or its log is not complete.`,
+				text: `${toInlineText(hostId)} has no line after ${formatTime(last.time)}, without a stop: it was lost, or its log is not complete.`,
 			}]
 			: [];
 	});
@@ -61,20 +62,20 @@
 		const jumpMs = Number(line.jumpMs);
 		return [{
 			kind: 'suspended', hostId, fromMs: time - Math.abs(jumpMs), untilMs: time,
-			text: `${hostId} was suspended, or its time of day stepped, by ${jumpMs} ms until ${formatTime(time)}.`,
+			text: `${toInlineText(hostId)} was suspended, or its time of day stepped, by ${jumpMs} ms until ${formatTime(time)}.`,
 		}];
 	}
 
 	if (event === 'lines-suppressed' || event === 'log-lines-dropped') {
 		return [{
 			kind: 'lines-lost', hostId, fromMs: time - 1000, untilMs: time,
-			text: `${hostId} left out ${String(line.count)} lines (${typeof line.of === 'string' ? line.of : 'any event'}) until ${formatTime(time)}.`,
+			text: `${toInlineText(hostId)} left out ${String(line.count)} lines (${typeof line.of === 'string' ? toInlineText(line.of) : 'any event'}) until ${formatTime(time)}.`,
 		}];
 	}
 
 	return event === 'dependency-lost'
 		? [{
-			kind: 'cut-off', hostId, fromMs: time, untilMs: undefined, text: `${hostId} lost ${String(line.dependency)} at ${formatTime(time)} (${String(line.reason)}); its clients may not have reached it either.`,
+			kind: 'cut-off', hostId, fromMs: time, untilMs: undefined, text: `${toInlineText(hostId)} lost ${toInlineText(String(line.dependency))} at ${formatTime(time)} (${toInlineText(String(line.reason))}); its clients may not have reached it either.`,
 		}]
 		: [];
 }
--- a/packages/ctl/test/explain/explain.test.ts
+++ b/packages/ctl/test/explain/explain.test.ts
@@ -1,6 +1,7 @@
 import {writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import {test} from 'tap';
+import {toInlineText} from '../../src/cli/index.js';
 import {runCtl} from '../run.js';
 
 const formatLogLine = (hostId: string, monotonicMs: number, event: string, fields: Record<string, unknown>, time = 1_700_000_000_000 + monotonicMs) =>
@@ -67,3 +68,27 @@
 		await runCtl('explain'),
 	]);
 });
+
+/** Text of a client that continues as a line of the command would, and as sequences that a terminal acts on. */
+const forgedLine = '2023-11-14T22:13:20.000Z front-z +1 ms request-served requestId=q9';
+const forgingTexts = [`\n${forgedLine}`, `\r\n${forgedLine}`, `\u0085${forgedLine}`, `\u2028${forgedLine}`, '\u001B[2K\u009B1A', '\u202Eback', ' code=served'];
+
+// Guards against an id, a database or an error text that looks like lines and fields of the command, or acts on the terminal of its reader.
+test('text of clients and instances stays within its field', async t => {
+	const file = join(t.testdir(), 'log');
+	for (const [index, text] of forgingTexts.entries()) {
+		writeFileSync(file, formatLogLine('front-a', 6100, 'request-failed', {
+			...refused, requestId: `q1${text}`, database: `holds${text}`, reason: 'endpoint-error', detail: `refused${text}`,
+		}));
+		const outputs = [await runCtl('explain', `q1${text}`, file), await runCtl('explain', '--database', `holds${text}`, file), await runCtl('explain', `q9${text}`, file)];
+		t.same(outputs.map(({code}) => code), [0, 0, 1]);
+		const lines = outputs.flatMap(({output}) => output.split(/\r?\n|[\u0085\u2028]/)).filter(line => line !== '');
+		t.same(lines.map(line => /^(?:TIME|Ended|1 failed|No line) /.exec(line)?.[0]), ['TIME ', 'Ended ', 'TIME ', '1 failed ', 'No line '], `text ${index}`);
+		t.notOk(/\p{Cc}|\p{Cf}/u.test(lines.join('')));
+	}
+
+	writeFileSync(file, formatLogLine('front-a', 6100, 'request-refused', {...refused, requestId: 'q1 code="served'}));
+	t.match(await runCtl('explain', 'q1 code="served', file), {output: String.raw`requestId="q1 code=\"served" service=ledger code=busy`});
+	// What is escaped cannot be told from what a client has written itself unless the escape character is escaped too.
+	t.notSame(toInlineText('\n'), toInlineText(String.raw`\u000a`));
+});
--- a/tap-snapshots/packages/ctl/test/explain/explain.test.ts.test.cjs
+++ b/tap-snapshots/packages/ctl/test/explain/explain.test.ts.test.cjs
@@ -31,7 +31,7 @@
   Object {
     "code": 0,
     "output": String(
-      TIME front-a +6300 ms request-refused requestId=q4 database=holds code=aborted reason=endpoint-silent transactionIds=q3 q4
+      TIME front-a +6300 ms request-refused requestId=q4 database=holds code=aborted reason=endpoint-silent transactionIds="q3 q4"
       Ended with aborted at front-a: the instance did not answer within the time of the statement.
       
     ),
