explain: take ids and files with a comma as they are

What callers saw: `explain q1,q2 LOG` looks for `q1` and reads a file `q2`; it ends with an error, or answers for another request if such a file exists.

Cause: arguments were split at commas. The ids are those of the clients, for which a comma is a character like others.

Evidence: the new test. Before: exit code 2 for an id with a comma and for a file whose name has one. After: the request is found, and `q1` is not.

Ruled out: a command line parser that joins arguments by commas: cac hands on each argument by itself.

--- a/packages/ctl/src/commands/explain/core/explain-command.ts
+++ b/packages/ctl/src/commands/explain/core/explain-command.ts
@@ -22,16 +22,15 @@
 	async run(context) {
 		const {args, options, readFile} = context;
 		const database = options.text('database');
-		const positionals = args.flatMap(argument => argument.split(','));
-		const files = database === undefined ? positionals.slice(1) : positionals;
-		if (database === undefined && positionals.length === 0) {
+		const files = database === undefined ? args.slice(1) : args;
+		if (database === undefined && args.length === 0) {
 			throw new UsageError('Give the id of a request, or --database; see --help.');
 		}
 
 		const range = {fromMs: parseTime(options.text('from'), Number.NEGATIVE_INFINITY), toMs: parseTime(options.text('to'), Number.POSITIVE_INFINITY)};
 		const {lines, damaged} = parseLogLines((files.length > 0 ? files : ['-']).map(file => readFile(file)).join('\n'));
 		return database === undefined
-			? explainSingleRequest(context, {lines, damaged, range}, positionals[0]!)
+			? explainSingleRequest(context, {lines, damaged, range}, args[0]!)
 			: explainDatabase(context, {lines, damaged, range}, database);
 	},
 };
--- a/packages/ctl/test/explain/explain.test.ts
+++ b/packages/ctl/test/explain/explain.test.ts
@@ -92,3 +92,11 @@
 	// What is escaped cannot be told from what a client has written itself unless the escape character is escaped too.
 	t.notSame(toInlineText('\n'), toInlineText(String.raw`\u000a`));
 });
+
+// Guards against an id or a file that is taken for several because of a character in it.
+test('an id and a file may hold any character of a name', async t => {
+	const file = join(t.testdir(), 'a,b log');
+	writeFileSync(file, formatLogLine('front-a', 6100, 'request-refused', {...refused, requestId: 'q1,q2'}));
+	t.match(await runCtl('explain', 'q1,q2', file), {code: 0, output: /no primary was known/});
+	t.match(await runCtl('explain', 'q1', file), {code: 1});
+});
