dogwoodctl: take arguments that look like numbers as given

`--change-id` sends the id, as a change with the id ...890 does: the second change counts as already accepted and is not applied. `--database 007` explains the database `7`, `1e3` is `1000`, and `0x10` is `16`.

Cause: the command line parser converts option values that look like numbers, and the command made texts of the numbers again. That is lossy.

Ruled out: positional arguments, which the parser leaves as they are, except that a sign before them makes them options.

Why it works: arguments that the parser would convert are marked with a character that no argument of a process can hold (NUL), and the mark is taken off where the options are read. Numbers of options must be in digits now; `--limit 1e1` was 10 and is refused.

--- a/packages/ctl/src/cli/core/run-cli.ts
+++ b/packages/ctl/src/cli/core/run-cli.ts
@@ -4,6 +4,7 @@
 	type Command, type CommandContext, type ExitCode, type Output,
 } from '../definitions.js';
 import {createCommandOptions, UsageError} from '../domain/command-options.js';
+import {markTexts, toGivenText} from '../domain/verbatim-arguments.js';
 
 export type CliOptions = {
 	commands: readonly Command[];
@@ -57,7 +58,7 @@
 
 	try {
 		return await command.run({
-			...context, args: cli.args.map(String), options: commandOptions, print,
+			...context, args: cli.args.map(argument => toGivenText(argument)), options: commandOptions, print,
 		});
 	} finally {
 		close();
@@ -71,7 +72,7 @@
 		selected = command;
 	});
 	try {
-		cli.parse(joinCommandGroup(argv, findCommandGroups(options.commands)), {run: false});
+		cli.parse(joinCommandGroup(markTexts(argv), findCommandGroups(options.commands)), {run: false});
 		if (cli.options.help === true || cli.options.version === true) {
 			return 0;
 		}
--- a/packages/ctl/src/cli/domain/command-options.ts
+++ b/packages/ctl/src/cli/domain/command-options.ts
@@ -1,4 +1,5 @@
 import {type CommandOptions} from '../definitions.js';
+import {toGivenText} from './verbatim-arguments.js';
 
 /** Invalid arguments or options; the process exits with code 2. */
 export class UsageError extends Error {
@@ -15,7 +16,7 @@
 			throw new UsageError(`Give ${formatFlag(name)} once.`);
 		}
 
-		return typeof value === 'string' || typeof value === 'number' ? String(value) : undefined;
+		return typeof value === 'string' || typeof value === 'number' ? toGivenText(value) : undefined;
 	};
 
 	return {
@@ -29,7 +30,7 @@
 
 			return value;
 		},
-		texts: name => [values[name] ?? []].flat().map(String),
+		texts: name => [values[name] ?? []].flat().map(value => toGivenText(value)),
 		wholeNumber(name) {
 			const value = text(name);
 			if (value === undefined) {
