RetryBudget: give each pair of caller and database its own key

The caller `c` of the database `a\0b` and the caller `b\0c` of `a` share a budget, so one of them can use up the other's retries.

Cause: the key was both names joined by a zero character, which either may hold: callers choose their id and name any database.

Evidence: the new test. Before: it fails for the zero character (the second pair gets no retry); after: it passes for it and six other separators.

Ruled out: the other keys of this form. The directory's avoided owners are keyed by database and host, and only an operator can give a host a name that holds the separator.

Why it works: the key begins with the length of the database's name, so it can be split in one way only.

--- a/packages/coordination/src/retry-budget/domain/retry-budget.ts
+++ b/packages/coordination/src/retry-budget/domain/retry-budget.ts
@@ -60,4 +60,5 @@
 	}
 }
 
-const bucketKey = (callerId: string, database: string): string => `${database}\u0000${callerId}`;
+/** The length tells where the first name ends, since both may hold any character. */
+const bucketKey = (callerId: string, database: string): string => `${database.length}:${database}${callerId}`;
--- a/packages/coordination/test/retry-budget/retry-budget.test.ts
+++ b/packages/coordination/test/retry-budget/retry-budget.test.ts
@@ -18,6 +18,17 @@
 	t.end();
 });
 
+// Guards against one caller that uses up the retries of another, because a caller and a database joined make the text of another pair.
+test('each pair of caller and database has a budget of its own, whatever their names hold', t => {
+	const budget = new RetryBudget({ratio: 0.1, burst: 1});
+	for (const separator of ['\0', '/', ':', ' ', ',', '"', '1:']) {
+		const [joined, apart] = [`a${separator}b`, `b${separator}c`];
+		t.same([budget.tryTakeRetry('c', joined), budget.tryTakeRetry(apart, 'a'), budget.tryTakeRetry(`${joined}${separator}c`, '')], [true, true, true], JSON.stringify(separator));
+	}
+
+	t.end();
+});
+
 // Guards against changed limits of the governing document that take effect only after a restart.
 test('a new ratio and burst apply at once', t => {
 	const budget = new RetryBudget({ratio: 0.1, burst: 3});
