Look up limits of the document by its own entries only

A database named `constructor`, a valid name, that the platform has and the document does not list has no number of slots, no queue length in its admission limits; what the admission makes of that was not run.

Cause: entries were looked up as properties, so the names that every object has as properties found these instead of nothing.

Ruled out: the statements' classes and ages, which were looked up in the same way, were undefined in these cases, as they should be. Documents that list such a name: own properties win.

Why it works: only own properties of the document's sections are entries.

--- a/packages/proxy/src/document/core/document-policy.ts
+++ b/packages/proxy/src/document/core/document-policy.ts
@@ -57,10 +57,14 @@
 	}
 
 	get #limits(): GoverningDocument['databases'][string] | undefined {
-		return this.#document?.databases[this.database];
+		return findEntry(this.#document?.databases, this.database);
 	}
 
 	#findStatement(name: string): GoverningDocument['applications']['statements'][string] | undefined {
-		return this.#document?.applications.statements[name];
+		return findEntry(this.#document?.applications.statements, name);
 	}
 }
+
+/** The entry of that name; names that every object has as properties are not entries. */
+const findEntry = <T>(entries: Readonly<Record<string, T>> | undefined, name: string): T | undefined =>
+	entries && Object.hasOwn(entries, name) ? entries[name] : undefined;
