Give metrics labels to databases that exist only

A database named `other` shares its series with all databases that have no label.

Cause: the first 50 names in requests became labels, whoever chose them, and the shared label was a name that a database may have.

Ruled out: work classes, outcomes and codes, which come from lists of the proxy itself; labels of `dogwood-pooler`, which has none from outside text.

Why it works: a name gets a label when the directory has learned of an ownership record for it, which only existing databases have; `*` is no valid name of a database.

--- a/packages/proxy/src/admin/infra/proxy-metrics.ts
+++ b/packages/proxy/src/admin/infra/proxy-metrics.ts
@@ -18,6 +18,8 @@
 
 /** Databases that get their own label; the others share one, which bounds the number of time series. */
 const maxDatabaseLabels = 50;
+/** Label of the other databases, and of those that do not exist. No database has this name. */
+const otherDatabasesLabel = '*';
 
 /** Metrics of the proxy. There are at most 51 database labels x 5 work classes x the outcome codes. */
 export class ProxyMetrics implements OwnerEvents {
@@ -53,6 +55,13 @@
 		});
 	}
 
+	/** Gives a database that exists a label, if there is one left. Callers may name others in their requests. */
+	registerDatabase(database: string): void {
+		if (this.#labelledDatabases.size < maxDatabaseLabels) {
+			this.#labelledDatabases.add(database);
+		}
+	}
+
 	/** Registers gauges whose values are read from the owners whenever metrics are scraped. */
 	registerOwnerGauges(owners: OwnerRegistry): void {
 		const registers = [this.registry];
@@ -102,10 +111,6 @@
 	}
 
 	#databaseLabel(database: string): string {
-		if (this.#labelledDatabases.size < maxDatabaseLabels) {
-			this.#labelledDatabases.add(database);
-		}
-
-		return this.#labelledDatabases.has(database) ? database : 'other';
+		return this.#labelledDatabases.has(database) ? database : otherDatabasesLabel;
 	}
 }
--- a/packages/proxy/src/daemon/proxy-components.ts
+++ b/packages/proxy/src/daemon/proxy-components.ts
@@ -108,6 +108,7 @@
 		directory, owners, forwarder: peers, membership, retryBudget, timers, random,
 	});
 	directory.onEntryChange((database, entry) => {
+		metrics.registerDatabase(database);
 		owners.applyEntry(database, entry);
 	});
 	documentInForce.onChange(next => {
