report: read labels with any character

`dogwoodctl report` leaves out the counters of a database whose name holds a carriage return or U+2028, so its requests are missing from the objectives; a value `constructor` is read as a function.

Cause: the text format escapes only backslash, quote and line feed, while `.` in the patterns that read it stops at every character that JavaScript takes for a line end. The names of special values were looked up as properties of an object.

Evidence: the new test with ten names. Before: it fails for these two names; the runner stops reading the output there (U+2028), so the assertions after it were not seen on the old code. After: all pass, also with blanks, quotes, backslashes, `}` and `a="b",c="` in the name.

Why it works: the patterns take any character within the quotes, and special values are in a map.

--- a/packages/ctl/src/report/domain/prometheus-text.ts
+++ b/packages/ctl/src/report/domain/prometheus-text.ts
@@ -5,15 +5,15 @@
 	value: number;
 };
 
-const linePattern = /^([a-zA-Z_:][\w:]*)(?:{(.*)})?\s+(\S+)(?:\s+-?\d+)?$/;
-const labelPattern = /\s*([a-zA-Z_]\w*)="((?:[^"\\]|\\.)*)"\s*(?:,|$)/gy;
+const linePattern = /^([a-zA-Z_:][\w:]*)(?:{(.*)})?\s+(\S+)(?:\s+-?\d+)?$/s;
+const labelPattern = /\s*([a-zA-Z_]\w*)="((?:[^"\\]|\\.)*)"\s*(?:,|$)/gsy;
 
 const unescapeLabel = (text: string): string =>
-	text.replaceAll(/\\(.)/g, (_, escaped: string) => escaped === 'n' ? '\n' : escaped);
+	text.replaceAll(/\\(.)/gs, (_, escaped: string) => escaped === 'n' ? '\n' : escaped);
 
 const parseValue = (text: string): number => {
-	const special: Record<string, number> = {'+Inf': Infinity, '-Inf': -Infinity, NaN: Number.NaN};
-	return special[text] ?? Number(text);
+	const special = new Map([['+Inf', Infinity], ['-Inf', -Infinity]]);
+	return special.get(text) ?? Number(text);
 };
 
 const parseLabels = (text: string): Record<string, string> =>
--- a/packages/ctl/test/report/report.test.ts
+++ b/packages/ctl/test/report/report.test.ts
@@ -111,3 +111,15 @@
 	]);
 	t.end();
 });
+
+// Guards against counters of a database that are left out or altered because of a character in its name.
+test('labels are read as the proxy has written them', t => {
+	for (const database of ['a b', 'a"b', String.raw`a\n`, 'a\nb', 'a\rb', 'a\u2028b', '} 5', 'a="b",c="', '__proto__', '\u4E2D']) {
+		// As the text format 0.0.4 escapes labels: a carriage return and U+2028 are left as they are.
+		const escaped = database.replaceAll('\\', '\\\\').replaceAll('"', String.raw`\"`).replaceAll('\n', String.raw`\n`);
+		t.same(parsePrometheusText(`# TYPE requests counter\nrequests{database="${escaped}"} 3\n`), [{name: 'requests', labels: {database}, value: 3}], encodeURIComponent(database));
+	}
+
+	t.same(parsePrometheusText('requests constructor'), [{name: 'requests', labels: {}, value: Number.NaN}]);
+	t.end();
+});
