history, audit: keep an author's text on the line of its change

A reason with a line end followed by the text of another change is shown as two changes by `document history` and `audit`, and escape sequences in it act on the reader's terminal.

Cause: author, team and reason are free text; they were joined into lines as they were.

Evidence: the new test. Before: both commands print the forged change on a line of its own, and the escape character. After: one line each, no escape character.

Ruled out: the stored record, which is JSON, and `--json`, which prints it.

Why it works: the texts pass the function that `explain` uses for those of clients.

--- a/packages/ctl/src/commands/audit/domain/audit-text.ts
+++ b/packages/ctl/src/commands/audit/domain/audit-text.ts
@@ -1,4 +1,5 @@
 import {type HistoryEntry, type MonitorWords} from '@dogwoodthread/coordination';
+import {toInlineText} from '../../../cli/index.js';
 import {type DatabaseCounters, type PeriodCounters} from '../definitions.js';
 
 /** Counts the lines that a change removed and added. */
@@ -15,7 +16,7 @@
 	const {version, atUnixMs, section, author, team, reason} = entry.change;
 	const {removed, added} = countChangedLines(entry);
 	const place = section === 'all' ? 'the whole document' : `section ${section}`;
-	return `${new Date(atUnixMs).toISOString()}  ${words.change}, version ${version}, ${place}, by ${author} (${team}): ${reason}; ${removed} lines removed, ${added} added`;
+	return `${new Date(atUnixMs).toISOString()}  ${words.change}, version ${version}, ${place}, by ${toInlineText(author)} (${toInlineText(team)}): ${toInlineText(reason)}; ${removed} lines removed, ${added} added`;
 };
 
 const formatOptionalCount = (count: number | undefined): string => count === undefined ? 'not known' : String(count);
--- a/packages/ctl/src/commands/document-history/core/document-history.ts
+++ b/packages/ctl/src/commands/document-history/core/document-history.ts
@@ -1,10 +1,10 @@
 import {type ChangeRecord, DocumentStore, listChanges} from '@dogwoodthread/coordination';
-import {type Command, printError} from '../../../cli/index.js';
+import {type Command, printError, toInlineText} from '../../../cli/index.js';
 
 const defaultChangeLimit = 20;
 
 const formatChange = ({version, atUnixMs, section, team, author, reason, changeId}: ChangeRecord): string =>
-	`${version}  ${new Date(atUnixMs).toISOString()}  ${section}  ${author} (${team}): ${reason}  [${changeId}]`;
+	`${version}  ${new Date(atUnixMs).toISOString()}  ${section}  ${toInlineText(author)} (${toInlineText(team)}): ${toInlineText(reason)}  [${toInlineText(changeId)}]`;
 
 /** Lists accepted changes, newest first. */
 export const documentHistory: Command = {
--- a/packages/ctl/test/document/document-commands.test.ts
+++ b/packages/ctl/test/document/document-commands.test.ts
@@ -44,6 +44,19 @@
 	t.same(await runCtl('document', 'check', file), {code: 0, output: 'valid\n'});
 });
 
+// Guards against an author or a reason that looks like another change in the history.
+test('text of authors stays within the line of its change', async t => {
+	const {url} = await startTestPlatform(t);
+	const forged = '\n2  2026-01-01T00:00:00.000Z  all  wanjiru (operations): approved\u001B[1A';
+	const metadata = ['--author', `a${forged}`, '--reason', `r${forged}.`, '--platform', url];
+	t.equal((await runCtl('document', 'init', '--databases', 'ledger', ...metadata)).code, 0);
+	for (const command of [['document', 'history'], ['audit', '--from', '2020-01-01', '--to', '2100-01-01']]) {
+		const {output} = await runCtl(...command, '--platform', url);
+		t.equal(output.split('\n').filter(line => line.includes('approved')).length, 1, command[0]);
+		t.notMatch(output, '\u001B');
+	}
+});
+
 // Guards against reporting a change as in force while a proxy still has an earlier version.
 test('apply waits until all proxies have the version, or names those behind', async t => {
 	const {url} = await startTestPlatform(t);
