--- a/packages/ctl/test/document/document-commands.test.ts
+++ b/packages/ctl/test/document/document-commands.test.ts
@@ -52,7 +52,7 @@
 	t.equal((await runCtl('document', 'init', '--databases', 'ledger', ...metadata)).code, 0);
 	for (const command of [['document', 'history'], ['audit', '--from', '2020-01-01', '--to', '2100-01-01']]) {
 		const {output} = await runCtl(...command, '--platform', url);
-		t.equal(output.split('\n').filter(line => line.includes('approved')).length, 1, command[0]);
+		t.equal(output.split('\n').filter(line => line.includes('approved')).length, 1, command.join(' '));
 		t.notMatch(output, '\u001B');
 	}
 });
