Refuse addresses that are other parts of a URL

An address in a group record such as `a b:80` or a port over 65,535 ends the task that connects, probes or fences with "Invalid URL", instead of making that member unreachable; `user@host:1` and `host:1/x?y` are taken for a host and something else.

Cause: the address, any text of the record, became a URL by putting `http://` before it.

Not changed: the addresses that proxies tell each other over gossip.

Why it works: only a host and a port, without the characters that make other parts of a URL, are dialled; others are `unreachable` with the remedy, as the callers expect.

--- a/packages/proxy/src/endpoint/infra/connect-endpoint-connector.ts
+++ b/packages/proxy/src/endpoint/infra/connect-endpoint-connector.ts
@@ -26,11 +26,19 @@
 	constructor(private readonly options: {timers: TimerService; controlTimeoutMs: number}) {}
 
 	async connect(address: string, identity: ConnectionIdentity, timeoutMs: number): Promise<Result<EndpointConnection, ConnectError>> {
-		return ConnectSession.open({...openChannel(address), timers: this.options.timers}, identity, timeoutMs);
+		const channel = openChannel(address);
+		return channel.isOk()
+			? ConnectSession.open({...channel.value, timers: this.options.timers}, identity, timeoutMs)
+			: err(channel.error);
 	}
 
 	async monitor(address: string, identity: ConnectionIdentity, timeoutMs: number, listener: StatusListener): Promise<Result<EndpointMonitor, ConnectError>> {
-		const monitor = new ConnectMonitor(openChannel(address), this.options.timers, listener);
+		const channel = openChannel(address);
+		if (channel.isErr()) {
+			return err(channel.error);
+		}
+
+		const monitor = new ConnectMonitor(channel.value, this.options.timers, listener);
 		const started = await monitor.start(identity, timeoutMs);
 		return started.map(() => monitor);
 	}
@@ -59,7 +67,12 @@
 	}
 
 	async #sendControlCommand<T>(address: string, call: (client: Channel['client']) => Promise<T>): Promise<Result<T, ControlError>> {
-		const {client, sessionManager} = openChannel(address);
+		const channel = openChannel(address);
+		if (channel.isErr()) {
+			return err({kind: 'unreachable', message: channel.error.message, cause: channel.error});
+		}
+
+		const {client, sessionManager} = channel.value;
 		try {
 			return ok(await call(client));
 		} catch (error) {
@@ -153,11 +166,18 @@
 	second();
 };
 
-function openChannel(address: string): Channel {
+/** A host and a port, without the characters that make other parts of a URL. */
+const addressPattern = /^[^\s/?#@\\]+:\d{1,5}$/;
+
+function openChannel(address: string): Result<Channel, ConnectError> {
 	const baseUrl = `http://${address}`;
+	if (!addressPattern.test(address) || !URL.canParse(baseUrl)) {
+		return err(buildUnreachableError(`${JSON.stringify(address)} is not a host and a port; correct the address in the group record.`));
+	}
+
 	const sessionManager = new GuardedSessionManager(baseUrl);
 	const transport = createConnectTransport({
 		baseUrl, httpVersion: '2', sessionManager, acceptCompression: [],
 	});
-	return {client: createClient(EndpointService, transport), sessionManager};
+	return ok({client: createClient(EndpointService, transport), sessionManager});
 }
