Pooler: limit what client sessions keep

Session values, prepared statements and the ids of a transaction's statements were kept without a limit.

SessionMemoryBudget counts them for each session and for the process. Over 256 KiB a session gets TOOBIG and keeps what it had. Over the limit of the process (a sixteenth of its memory) idle sessions that hold more than the one that asks are ended, the largest first, which the protocol does not count as a failure; otherwise the statement is BUSY. A quarter of the limit is for sessions up to 8 KiB, so that sessions that are never idle cannot take what small ones need.

Kept text is copied, because V8 represents a part of a string as a reference to the whole: a statement of 20 characters kept its message of 1 MB. The name of the database had the same effect for each session.

A holder counts the session state that comes with forwarded statements and refuses it as not run; the sending host then asks another holder. A released endpoint connection with over 8 KiB of session values is reset, since these outlive the session that counted them.

--- a/packages/pooler/src/daemon/pooler.ts
+++ b/packages/pooler/src/daemon/pooler.ts
@@ -18,6 +18,7 @@
 import {type EventLog, type PoolerMetrics} from '../observability/index.js';
 import {ConnectionPool} from '../pool/index.js';
 import {type Executor, LocalExecutor, Session} from '../session/index.js';
+import {SessionMemoryBudget, type SessionMemoryBudgetOptions} from '../session-memory/index.js';
 import {type StoreHistory} from '../store-history/index.js';
 
 export type PoolerOptions = {
@@ -30,6 +31,8 @@
 	peerConnector: PeerConnector;
 	/** Time after an acknowledged notice that an endpoint is leaving, at the end of which no statement may reach it any more. */
 	drainBoundMs: number;
+	/** Limits on what sessions keep, in bytes. */
+	sessionMemory: Pick<SessionMemoryBudgetOptions, 'sessionLimitBytes' | 'processLimitBytes'>;
 	random: RandomSource;
 	timers: TimerService;
 	events: EventLog;
@@ -50,6 +53,7 @@
 	readonly #executors = new Map<string, {local?: LocalExecutor; fallback?: FallbackExecutor; remote: RemoteExecutor}>();
 	readonly #links = new Map<string, HolderLink>();
 	readonly #forwardService: ForwardService;
+	readonly #sessionMemory: SessionMemoryBudget;
 	#lastTransactionNumber = 0;
 	readonly #clock: ClockDiscontinuityDetector;
 	readonly #promotionRecords: PromotionRecordStore;
@@ -60,7 +64,7 @@
 
 	constructor(private readonly options: PoolerOptions) {
 		const {
-			timers, events, platform, history, promotionService, self, metrics, random,
+			timers, events, platform, history, promotionService, self, metrics, random, sessionMemory,
 		} = options;
 		this.#clock = new ClockDiscontinuityDetector(timers, jumpMs => {
 			events.write('clock-discontinuity', {jumpMs: Math.round(jumpMs)});
@@ -70,7 +74,9 @@
 				this.#reconcileServices();
 			},
 		});
+		this.#sessionMemory = new SessionMemoryBudget({...sessionMemory, events, metrics});
 		this.#forwardService = new ForwardService({
+			memory: this.#sessionMemory,
 			timers,
 			events,
 			clock: this.#clock,
@@ -148,7 +154,8 @@
 		}
 	}
 
-	openSession(database: string): Session {
+	/** `endIfIdle` ends the client's connection if it is idle outside a transaction, and returns whether it did. */
+	openSession(database: string, endIfIdle?: () => boolean): Session {
 		const {timers, events, metrics, self} = this.options;
 		return new Session(database, {
 			timers,
@@ -156,6 +163,8 @@
 			metrics,
 			failureDomain: self.failureDomain,
 			catalog: this.catalog,
+			memory: this.#sessionMemory,
+			endIfIdle,
 			executorOf: service => this.#chooseExecutor(service),
 		});
 	}
--- a/packages/pooler/src/forward/forward-service.ts
+++ b/packages/pooler/src/forward/forward-service.ts
@@ -1,9 +1,11 @@
 import {type TimerService} from '@dogwoodthread/coordination';
-import {err} from 'neverthrow';
+import {err, ok, Result} from 'neverthrow';
 import {type EventLog, guardTask} from '../observability/index.js';
 import {
-	createProgress, type Operation, SessionState, statementFailure, type StatementFailure, type StatementResult, type TransactionHandle,
+	BoundedSessionState, createProgress, type Operation, preparedBytes, type PreparedStatement, type SessionState, statementFailure, type StatementFailure,
+	type StatementResult, type TransactionHandle,
 } from '../session/index.js';
+import {type SessionMemoryBudget} from '../session-memory/index.js';
 import {type LocalReach} from './fallback-executor.js';
 import {
 	type ClockReading, type ForwardedStatement, type ForwardReply, type ForwardRequest, type PeerLink,
@@ -18,9 +20,11 @@
 	transactionIdleMs: () => number;
 	/** Executor that uses this host's own connections to the service; `undefined` if the host holds none. */
 	executorOf: (service: string) => LocalReach | undefined;
+	/** Counts the session state that arrives with statements, for as long as this host needs it. */
+	memory: SessionMemoryBudget;
 };
 
-type OpenTransaction = {handle: TransactionHandle; session: SessionState; lastUsedAtMs: number; isBusy: boolean};
+type OpenTransaction = {handle: TransactionHandle; session: BoundedSessionState; lastUsedAtMs: number; isBusy: boolean};
 type StatementRequest = Exclude<ForwardRequest, {kind: 'ping' | 'abort'}>;
 type Link = PeerLink<ForwardReply, ForwardRequest>;
 
@@ -57,8 +61,8 @@
 		link.onClose(() => {
 			this.#links.delete(link);
 			idleCheck.cancel();
-			for (const {handle} of transactions.values()) {
-				handle.abort();
+			for (const open of transactions.values()) {
+				endTransaction(open);
 			}
 
 			transactions.clear();
@@ -85,7 +89,7 @@
 		}
 
 		if (request.kind === 'abort') {
-			transactions.get(request.transaction)?.handle.abort();
+			endTransaction(transactions.get(request.transaction));
 			transactions.delete(request.transaction);
 			return;
 		}
@@ -118,10 +122,10 @@
 	/** Aborts transactions that stayed idle too long because their host no longer reaches this one. */
 	#abortIdleTransactions(transactions: Map<number, OpenTransaction>): void {
 		const abortBeforeMs = this.options.timers.nowMs() - this.options.transactionIdleMs() - remoteIdleMarginMs;
-		for (const [transactionNumber, {handle, lastUsedAtMs, isBusy}] of transactions) {
-			if (!isBusy && lastUsedAtMs < abortBeforeMs) {
+		for (const [transactionNumber, open] of transactions) {
+			if (!open.isBusy && open.lastUsedAtMs < abortBeforeMs) {
 				transactions.delete(transactionNumber);
-				handle.abort();
+				endTransaction(open);
 			}
 		}
 	}
@@ -148,27 +152,36 @@
 			return err(statementFailure('not-reachable'));
 		}
 
-		const open = existing ?? this.#beginTransaction(request);
-		if (!open) {
-			return err(statementFailure('no-connection'));
+		const begun = existing ? ok(existing) : this.#beginTransaction(request);
+		if (begun.isErr()) {
+			return err(begun.error);
 		}
 
+		// After a refusal the client's host aborts the transaction.
+		const open = begun.value;
 		transactions.set(request.transaction, open);
-		for (const [name, value] of statement.values) {
-			open.session.values.set(name, value);
+		const kept = keepValues(open.session, statement);
+		if (kept.isErr()) {
+			return err(kept.error);
 		}
 
-		const operation = this.#createOperation(request, open.session);
-		if (request.kind === 'commit') {
-			transactions.delete(request.transaction);
-			return open.handle.commit(operation);
+		const operation = this.#createOperation(request, open.session.state);
+		if (request.kind === 'transaction') {
+			return runWithPrepared(open.session, request, async () => {
+				open.isBusy = true;
+				const result = await open.handle.run({command: request.command, prepared: request.prepared}, request.isWrite, operation);
+				open.isBusy = false;
+				open.lastUsedAtMs = this.options.timers.nowMs();
+				return result;
+			});
 		}
 
-		open.isBusy = true;
-		const result = await open.handle.run({command: request.command, prepared: request.prepared}, request.isWrite, operation);
-		open.isBusy = false;
-		open.lastUsedAtMs = this.options.timers.nowMs();
-		return result;
+		transactions.delete(request.transaction);
+		try {
+			return await open.handle.commit(operation);
+		} finally {
+			open.session.close();
+		}
 	}
 
 	async #runSingle(request: Extract<ForwardRequest, {kind: 'single'}>): Promise<StatementResult> {
@@ -180,9 +193,19 @@
 			return err(statementFailure('not-reachable'));
 		}
 
-		return executor
-			? executor.runSingle({command, prepared}, isWrite, this.#createOperation(request, createSession(statement)))
-			: err(statementFailure('no-connection'));
+		if (!executor) {
+			return err(statementFailure('no-connection'));
+		}
+
+		const session = this.#openSession(statement);
+		try {
+			const kept = keepValues(session, statement);
+			return kept.isErr()
+				? err(kept.error)
+				: await runWithPrepared(session, request, async () => executor.runSingle({command, prepared}, isWrite, this.#createOperation(request, session.state)));
+		} finally {
+			session.close();
+		}
 	}
 
 	/** Whether this host reaches what the statement needs; true if it may wait for that. */
@@ -190,19 +213,27 @@
 		return mayWait || (this.options.executorOf(service)?.canServe(isWrite || consistency === 'primary') ?? true);
 	}
 
-	#beginTransaction({begin, statement}: Extract<ForwardRequest, {kind: 'transaction' | 'commit'}>): OpenTransaction | undefined {
+	#beginTransaction({begin, statement}: Extract<ForwardRequest, {kind: 'transaction' | 'commit'}>): Result<OpenTransaction, StatementFailure> {
 		const executor = this.options.executorOf(statement.service);
 		if (!executor) {
-			return undefined;
+			return err(statementFailure('no-connection'));
 		}
 
-		const session = createSession(statement);
-		const handle = executor.begin({
-			id: begin.id, readOnly: begin.readOnly, session, beganAtMs: this.options.timers.nowMs(),
+		const session = this.#openSession(statement);
+		return session.reserve(begin.id.length, statement.requestId).map(() => {
+			const handle = executor.begin({
+				id: begin.id, readOnly: begin.readOnly, session: session.state, beganAtMs: this.options.timers.nowMs(),
+			});
+			return {
+				handle, session, lastUsedAtMs: this.options.timers.nowMs(), isBusy: false,
+			};
 		});
-		return {
-			handle, session, lastUsedAtMs: this.options.timers.nowMs(), isBusy: false,
-		};
+	}
+
+	#openSession({service, committed}: ForwardedStatement): BoundedSessionState {
+		const session = new BoundedSessionState(this.options.memory.open({owner: service}));
+		session.state.recordCommit(committed);
+		return session;
 	}
 
 	#createOperation({statement, sentAt}: StatementRequest, session: SessionState): Operation {
@@ -227,12 +258,31 @@
 	}
 }
 
-function createSession({values, committed}: ForwardedStatement): SessionState {
-	const session = new SessionState();
-	for (const [name, value] of values) {
-		session.values.set(name, value);
+function endTransaction(open: OpenTransaction | undefined): void {
+	open?.handle.abort();
+	open?.session.close();
+}
+
+/** Keeps the session values of the client, up to the limits of this host. */
+function keepValues(session: BoundedSessionState, {values, requestId}: ForwardedStatement): Result<void, StatementFailure> {
+	return Result.combine(values.map(([name, value]) => session.setValue(name, value, requestId))).map(() => undefined);
+}
+
+/** Counts the prepared statement while it runs. */
+async function runWithPrepared(
+	session: BoundedSessionState,
+	{prepared, statement}: {prepared?: PreparedStatement; statement: ForwardedStatement},
+	run: () => Promise<StatementResult>,
+): Promise<StatementResult> {
+	const bytes = prepared ? preparedBytes('', prepared) : 0;
+	const reserved = session.reserve(bytes, statement.requestId);
+	if (reserved.isErr()) {
+		return err(reserved.error);
 	}
 
-	session.recordCommit(committed);
-	return session;
+	try {
+		return await run();
+	} finally {
+		session.release(bytes);
+	}
 }
--- a/packages/pooler/src/forward/remote-executor.ts
+++ b/packages/pooler/src/forward/remote-executor.ts
@@ -168,7 +168,7 @@
 
 /** Whether the holder refused to run the statement, so that another holder may run it. */
 const isRefusal = (result: StatementResult): boolean =>
-	result.isErr() && (result.error.reason === 'no-connection' || result.error.reason === 'arrived-late' || unreachedReasons.has(result.error.reason));
+	result.isErr() && (result.error.reason === 'no-connection' || result.error.reason === 'arrived-late' || result.error.reason === 'process-memory' || unreachedReasons.has(result.error.reason));
 
 function recordWrite(result: StatementResult, isWrite: boolean, {session}: Operation): StatementResult {
 	return result.map(answer => {
--- a/packages/pooler/src/index.ts
+++ b/packages/pooler/src/index.ts
@@ -11,5 +11,6 @@
 export * from './pool/index.js';
 export * from './routing/index.js';
 export * from './session/index.js';
+export * from './session-memory/index.js';
 export * from './statement/index.js';
 export * from './store-history/index.js';
--- a/packages/pooler/src/observability/definitions.ts
+++ b/packages/pooler/src/observability/definitions.ts
@@ -60,6 +60,7 @@
 	'host-entry-rejected',
 	'peer-message-rejected',
 	'input-cut',
+	'session-memory-refused',
 ] as const;
 
 export type EventName = typeof eventNames[number];
--- a/packages/pooler/src/observability/pooler-metrics.ts
+++ b/packages/pooler/src/observability/pooler-metrics.ts
@@ -25,6 +25,10 @@
 		name: 'dogwood_configuration_version', help: 'Version of the configuration in force', registers: [this.registry],
 	});
 
+	readonly #sessionMemoryRefusals = new Counter({
+		name: 'dogwood_session_memory_refusals_total', help: 'Statements refused and idle sessions ended because of the limits on session memory', labelNames: ['outcome'], registers: [this.registry],
+	});
+
 	recordRequest(consistency: string, outcome: string, totalMs: number): void {
 		this.#requests.inc({consistency, outcome});
 		this.#latency.observe({consistency, stage: 'total'}, totalMs / 1000);
@@ -54,6 +58,20 @@
 		});
 	}
 
+	/** Registers a gauge that calls `heldBytes` whenever the metrics are collected. */
+	registerSessionMemory(heldBytes: () => number): void {
+		const gauge = new Gauge({
+			name: 'dogwood_session_memory_bytes', help: 'Session values, prepared statements and transaction ids that sessions keep', registers: [this.registry],
+			collect() {
+				gauge.set(heldBytes());
+			},
+		});
+	}
+
+	countSessionMemoryRefusal(outcome: string): void {
+		this.#sessionMemoryRefusals.inc({outcome});
+	}
+
 	countEvent(event: string, count = 1): void {
 		this.#events.inc({event}, count);
 	}
--- a/packages/pooler/src/observability/rate-limited-event-log.ts
+++ b/packages/pooler/src/observability/rate-limited-event-log.ts
@@ -36,6 +36,7 @@
 	'host-entry-rejected',
 	'peer-message-rejected',
 	'input-cut',
+	'session-memory-refused',
 	'unexpected-error',
 ]);
 
--- a/packages/pooler/src/pool/connection-pool.ts
+++ b/packages/pooler/src/pool/connection-pool.ts
@@ -35,6 +35,13 @@
 const controlConnections = 1;
 /** Connections beyond the guaranteed share are closed after they have been idle for this long, in ms. */
 const surplusIdleMs = 2000;
+/**
+ * Session values on a released connection outlive the session that counts them. With more than this the connection is
+ * reset before it is used again. Usual sessions keep less, so that their connections need no further command.
+ */
+const maxIdleValueBytes = 8192;
+/** Timeout for a reset, in ms; short, because a reset is no work for the endpoint. */
+const resetTimeoutMs = 1000;
 /** Weight of the newest sample in the moving average of the hold time of a connection. */
 const holdTimeWeight = 0.1;
 /** Initial value of the mean hold time of a connection, in ms. */
@@ -116,16 +123,11 @@
 			return;
 		}
 
-		this.#endHold(connection);
-		if (this.#isClosed || !connection.isReusable || this.#isSurplus()) {
-			connection.close();
-			this.#openIfNeeded();
-			return;
+		if (connection.isReusable && connection.valueBytes > maxIdleValueBytes) {
+			void this.#resetAndTakeBack(connection);
+		} else {
+			this.#takeBack(connection);
 		}
-
-		connection.idleSinceMs = this.options.timers.nowMs();
-		this.#idle.push(connection);
-		this.#serveWaiters();
 	}
 
 	/** Ends the lease and closes its connection, whose state is unknown. Without effect if the lease has ended before. */
@@ -186,6 +188,29 @@
 		return new ConnectionLease(connection);
 	}
 
+	/** The connection counts as in use until the endpoint has answered. */
+	async #resetAndTakeBack(connection: PooledConnection): Promise<void> {
+		await connection.run({kind: 'reset'}, resetTimeoutMs);
+		if (connection.valueBytes > 0) {
+			connection.close();
+		}
+
+		this.#takeBack(connection);
+	}
+
+	#takeBack(connection: PooledConnection): void {
+		this.#endHold(connection);
+		if (this.#isClosed || !connection.isReusable || this.#isSurplus()) {
+			connection.close();
+			this.#openIfNeeded();
+			return;
+		}
+
+		connection.idleSinceMs = this.options.timers.nowMs();
+		this.#idle.push(connection);
+		this.#serveWaiters();
+	}
+
 	#endHold(connection: PooledConnection): void {
 		const sinceMs = this.#heldSinceMs.get(connection);
 		this.#heldSinceMs.delete(connection);
--- a/packages/pooler/src/pool/pooled-connection.ts
+++ b/packages/pooler/src/pool/pooled-connection.ts
@@ -29,6 +29,11 @@
 		return this.#values;
 	}
 
+	/** Length of the session values and their names. */
+	get valueBytes(): number {
+		return [...this.#values].reduce((bytes, [name, value]) => bytes + name.length + value.length, 0);
+	}
+
 	/** Names of the statements that are prepared on the connection. */
 	get prepared(): ReadonlySet<string> {
 		return this.#prepared;
--- a/packages/pooler/src/session/errors.ts
+++ b/packages/pooler/src/session/errors.ts
@@ -13,6 +13,7 @@
 export type FailureReason =
 	| 'unknown-database' | 'unknown-service' | 'malformed' | 'unknown-statement' | 'transaction-failed' | 'no-transaction'
 	| 'leader-unknown' | 'leader-stalled' | 'endpoint-unreachable' | 'not-reachable' | 'leadership-unproven' | 'position-unknown' | 'no-reader' | 'no-connection' | 'connection-lost'
+	| 'session-memory' | 'process-memory'
 	| 'arrived-late' | 'commit-unconfirmed' | 'endpoint-silent' | 'endpoint-error' | 'idle-in-transaction' | 'shutting-down' | 'interrupted' | 'internal-error';
 
 const failures: Record<FailureReason, {code: ErrorCode; text: string}> = {
@@ -31,6 +32,9 @@
 	'no-reader': {code: 'busy', text: 'no instance can serve the read at present; retry after 200 ms'},
 	'no-connection': {code: 'busy', text: 'all connections are in use; retry after 100 ms'},
 	'arrived-late': {code: 'busy', text: 'the statement took too long on its way to the host that runs it; retry after 100 ms'},
+	// Not a promise: a new attempt in the same session would meet the same limit.
+	'session-memory': {code: 'too-large', text: 'this session would keep too many bytes of values and prepared statements, and kept none of this statement; send shorter texts, deallocate statements, or continue in a new session'},
+	'process-memory': {code: 'busy', text: 'the sessions of this host keep too many values and prepared statements, and this statement has not run; retry after 500 ms'},
 	'connection-lost': {code: 'in-doubt', text: 'the connection to the instance ended before its answer; read back before repeating'},
 	'commit-unconfirmed': {code: 'in-doubt', text: 'no other instance was seen to have the commit in time, so it may be lost when the primary is replaced; read back before repeating'},
 	'endpoint-silent': {code: 'timeout', text: 'the instance did not answer in time; read back before repeating'},
--- a/packages/pooler/src/session/index.ts
+++ b/packages/pooler/src/session/index.ts
@@ -5,6 +5,7 @@
 export type {
 	BeginRequest, Executor, StatementResult, TransactionHandle,
 } from './executor.js';
+export {BoundedSessionState, preparedBytes} from './bounded-session-state.js';
 export {LocalExecutor, type LocalExecutorContext} from './local-executor.js';
 export {createProgress, type Operation, type OperationProgress} from './operation.js';
 export type {SingleStatement} from './single-statement.js';
--- a/packages/pooler/src/session/session.ts
+++ b/packages/pooler/src/session/session.ts
@@ -1,15 +1,22 @@
+import {type Result} from 'neverthrow';
 import {type Catalog, type Route} from '../catalog/index.js';
 import {type ClientAnswer, type ClientStatement, type TransactionState} from '../statement/index.js';
+import {copyText, type SessionMemoryBudget} from '../session-memory/index.js';
+import {BoundedSessionState} from './bounded-session-state.js';
 import {statementFailure, type StatementFailure} from './errors.js';
 import {createProgress, type Operation, type OperationContext} from './operation.js';
 import {type Executor, type StatementResult, type TransactionHandle} from './executor.js';
 import {type SingleStatement} from './single-statement.js';
-import {SessionState} from './session-state.js';
 import {StatementLog} from './statement-log.js';
+import {TransactionIds} from './transaction-ids.js';
 
 export type SessionContext = OperationContext & {
 	catalog: Catalog;
 	executorOf: (service: string) => Executor | undefined;
+	/** Limits what the session keeps. */
+	memory: SessionMemoryBudget;
+	/** Ends the connection of the session if its client is idle outside a transaction, and returns whether it did. */
+	endIfIdle?: () => boolean;
 };
 
 type Executable = Extract<ClientStatement, {kind: 'read' | 'write' | 'execute'}>;
@@ -18,23 +25,28 @@
 
 /** One client session: its session values, prepared statements and transaction. Statements are handled one at a time. */
 export class Session {
-	readonly #state = new SessionState();
+	readonly database: string;
+	readonly #bounded: BoundedSessionState;
 	#transaction: TransactionHandle | undefined;
 	#transactionRoute: Route | undefined;
 	/** Executor that began the transaction; it runs all its statements even if the configuration changes meanwhile. */
 	#transactionExecutor: Executor | undefined;
 	#expiryReason: 'idle-in-transaction' | 'shutting-down' | undefined;
 	#isBusy = false;
-	/** Ids of the statements of the latest transaction; empty after a statement outside a transaction. */
-	#transactionIds: readonly string[] = [];
+	/** Ids of the statements of the latest transaction; undefined after a statement outside a transaction. */
+	#transactionIds: TransactionIds | undefined;
+	/** Memory that is reserved for the ids of the open transaction. */
+	#transactionBytes = 0;
 	/** Answers the statement that is being handled, without waiting for it. */
 	#answerEarly: ((answer: ClientAnswer) => void) | undefined;
 	/** Whether the statement that is being handled may commit a write. */
 	#mayCommit = false;
 	readonly #log: StatementLog;
 
-	constructor(readonly database: string, private readonly context: SessionContext) {
-		this.#log = new StatementLog({...context, database});
+	constructor(database: string, private readonly context: SessionContext) {
+		this.database = copyText(database);
+		this.#bounded = new BoundedSessionState(context.memory.open({owner: this.database, endIfIdle: context.endIfIdle}));
+		this.#log = new StatementLog({...context, database: this.database});
 	}
 
 	get transactionState(): TransactionState {
@@ -82,9 +94,10 @@
 		}
 	}
 
-	/** Called when the client's connection has ended; rolls back an open transaction. */
+	/** Called when the client's connection has ended; rolls back an open transaction and releases the session's memory. */
 	close(): void {
 		this.#endTransaction();
+		this.#bounded.close();
 	}
 
 	async #handle(statement: ClientStatement): Promise<ClientAnswer> {
@@ -122,17 +135,15 @@
 			}
 
 			case 'set': {
-				this.#state.values.set(statement.name, statement.value);
-				return this.#doneAnswer();
+				return this.#answerKept(this.#bounded.setValue(statement.name, statement.value, statement.id));
 			}
 
 			case 'prepare': {
-				this.#state.prepare(statement.name, statement.access, statement.shape);
-				return this.#doneAnswer();
+				return this.#answerKept(this.#bounded.prepare(statement, statement.id));
 			}
 
 			case 'deallocate': {
-				this.#state.prepared.delete(statement.name);
+				this.#bounded.deallocate(statement.name);
 				return this.#doneAnswer();
 			}
 
@@ -157,12 +168,21 @@
 			return this.#reject(statement, statementFailure('unknown-service'));
 		}
 
+		// The executor keeps the id until the transaction begins at an endpoint.
+		const transactionBytes = statement.id.length + TransactionIds.maxBytes;
+		const reserved = this.#bounded.reserve(transactionBytes, statement.id);
+		if (reserved.isErr()) {
+			return this.#errorAnswer(reserved.error);
+		}
+
+		this.#transactionBytes = transactionBytes;
 		this.#transactionRoute = route;
 		this.#transactionExecutor = executor;
 		this.#transaction = executor.begin({
-			id: statement.id, readOnly: statement.readOnly, session: this.#state, beganAtMs: this.context.timers.nowMs(),
+			id: copyText(statement.id), readOnly: statement.readOnly, session: this.#bounded.state, beganAtMs: this.context.timers.nowMs(),
 		});
-		this.#transactionIds = [statement.id];
+		this.#transactionIds = new TransactionIds();
+		this.#transactionIds.add(statement.id);
 		return this.#doneAnswer();
 	}
 
@@ -195,7 +215,7 @@
 	}
 
 	async #execute(statement: Executable): Promise<ClientAnswer> {
-		const prepared = statement.kind === 'execute' ? this.#state.prepared.get(statement.name) : undefined;
+		const prepared = statement.kind === 'execute' ? this.#bounded.state.prepared.get(statement.name) : undefined;
 		if (statement.kind === 'execute' && !prepared) {
 			return this.#reject(statement, statementFailure('unknown-statement'));
 		}
@@ -210,7 +230,12 @@
 			return this.#reject(statement, statementFailure('unknown-service'));
 		}
 
-		this.#transactionIds = this.#transaction ? [...this.#transactionIds, statement.id] : [];
+		if (this.#transaction) {
+			this.#transactionIds?.add(statement.id);
+		} else {
+			this.#transactionIds = undefined;
+		}
+
 		const operation = this.#createOperation(statement.id, route);
 		const single: SingleStatement = {
 			prepared,
@@ -231,7 +256,7 @@
 	#createOperation(id: string, route: Route): Operation {
 		const nowMs = this.context.timers.nowMs();
 		return {
-			id, route, session: this.#state, arrivedAtMs: nowMs, deadlineMs: nowMs + route.statementTimeoutMs, progress: createProgress(),
+			id, route, session: this.#bounded.state, arrivedAtMs: nowMs, deadlineMs: nowMs + route.statementTimeoutMs, progress: createProgress(),
 		};
 	}
 
@@ -240,11 +265,13 @@
 		this.#transaction = undefined;
 		this.#transactionRoute = undefined;
 		this.#transactionExecutor = undefined;
+		this.#bounded.release(this.#transactionBytes);
+		this.#transactionBytes = 0;
 	}
 
 	#finishOperation(operation: Operation, result: StatementResult, statementKind: string, executor: Executor): ClientAnswer {
 		this.#log.recordOutcome({
-			operation, result, statementKind, executor, transactionIds: this.#transactionIds,
+			operation, result, statementKind, executor, transactionIds: this.#transactionIds?.list ?? [],
 		});
 		if (result.isErr()) {
 			return this.#errorAnswer(result.error);
@@ -259,10 +286,15 @@
 
 	/** Refuses a statement that was not passed to an executor, or whose transaction cannot continue. */
 	#reject(statement: ClientStatement, failure: StatementFailure, detail = failure.text): ClientAnswer {
-		this.#log.recordRejection(statement, failure, detail, this.#transaction && this.#transactionIds);
+		this.#log.recordRejection(statement, failure, detail, this.#transaction && this.#transactionIds?.list);
 		return this.#errorAnswer(failure, detail);
 	}
 
+	/** The budget logs a refusal. */
+	#answerKept(kept: Result<void, StatementFailure>): ClientAnswer {
+		return kept.isErr() ? this.#errorAnswer(kept.error) : this.#doneAnswer();
+	}
+
 	#doneAnswer(): ClientAnswer {
 		return {rows: [], outcome: {kind: 'done', signature: noSignature}, transaction: this.transactionState};
 	}
--- a/packages/pooler/test/forward/forward.test.ts
+++ b/packages/pooler/test/forward/forward.test.ts
@@ -3,9 +3,10 @@
 import {test} from 'tap';
 import {
 	type FleetHost, type ForwardReply, type ForwardRequest, ForwardService, HolderLink, type LocalReach, type Operation, type PeerLink, createProgress, RemoteExecutor,
-	SessionState, statementFailure, type StatementResult,
+	type SessionMemoryBudget, SessionState, statementFailure, type StatementResult,
 } from '../../src/index.js';
 import {MemoryEventLog} from '../fixtures/fake-endpoints.js';
+import {createSessionMemory} from '../fixtures/session-memory.js';
 
 /** One end of an in-memory link. `isDroppingSends` drops sent messages; `isDelayingSends` keeps them until `releaseDelayed`. */
 class MemoryLink<Sent, Received> implements PeerLink<Sent, Received> {
@@ -79,6 +80,7 @@
 type Holder = {
 	host: FleetHost;
 	service: ForwardService;
+	memory: SessionMemoryBudget;
 	isHolder: boolean;
 	isReachable: boolean;
 	/** Whether the holder reaches the endpoints. */
@@ -95,7 +97,8 @@
 const neverAnswer = async (): Promise<StatementResult> => new Promise(() => {/* The holder never answers. */});
 
 function createHolder(timers: ManualTimerService, name: string): Holder {
-	const holder: Partial<Holder> & Pick<Holder, 'executedCommands' | 'links'> = {
+	const holder: Partial<Holder> & Pick<Holder, 'executedCommands' | 'links' | 'memory'> = {
+		memory: createSessionMemory().memory,
 		isHolder: true, isReachable: true, canServe: true, executedCommands: [], links: [], epoch: 0, answer: answerAtOnce, host: {
 			hostId: name, address: name, failureDomain: name, startedAtMs: 0,
 		},
@@ -124,7 +127,12 @@
 		logFields: () => ({}),
 	};
 	holder.service = new ForwardService({
-		timers, events: new MemoryEventLog(), clock: {epoch: () => holder.epoch!}, transactionIdleMs: () => 3000, executorOf: () => holder.isHolder ? executor : undefined,
+		timers,
+		events: new MemoryEventLog(),
+		clock: {epoch: () => holder.epoch!},
+		transactionIdleMs: () => 3000,
+		executorOf: () => holder.isHolder ? executor : undefined,
+		memory: holder.memory,
 	});
 	return holder as Holder;
 }
--- a/packages/pooler/test/session/session.test.ts
+++ b/packages/pooler/test/session/session.test.ts
@@ -4,6 +4,7 @@
 	Catalog, type ClientStatement, type Configuration, LocalExecutor, Session,
 } from '../../src/index.js';
 import {type FakeEndpoint, type Fault, GroupFixture} from '../fixtures/fake-endpoints.js';
+import {createSessionMemory} from '../fixtures/session-memory.js';
 
 const route = {
 	database: 'holds', service: 'ledger', consistency: 'primary' as const, statementTimeoutMs: 1000, latencyObjectiveMs: 200, priority: 1, maxStalenessMs: 0,
@@ -33,7 +34,9 @@
 
 	open(database: string): Session {
 		this.catalog.onConfiguration(configuration);
-		return new Session(database, {...this.context, catalog: this.catalog, executorOf: () => this.executor});
+		return new Session(database, {
+			...this.context, catalog: this.catalog, executorOf: () => this.executor, memory: createSessionMemory().memory,
+		});
 	}
 
 	async send(session: Session, statement: ClientStatement): Promise<string> {
