Session memory: tests, and the refused statement in the log

A SET, PREPARE or BEGIN that is refused for its session's memory is now logged as request-refused as well, so that `dogwoodctl explain` finds it by its id and names the cause.

--- a/packages/ctl/src/commands/explain/domain/explain-request.ts
+++ b/packages/ctl/src/commands/explain/domain/explain-request.ts
@@ -44,6 +44,8 @@
 	'endpoint-unreachable': 'the host could not open a connection to the instance, or got no answer from it, and no other host could serve either',
 	'not-reachable': 'the host that holds the connections did not reach the instances, and no other one did',
 	'no-connection': 'all connections that this host may hold were in use for longer than the statement had',
+	'session-memory': 'the session would have kept more values and prepared statements than one session may; see `session-memory-refused`',
+	'process-memory': 'the sessions of the host kept too many values and prepared statements; see `session-memory-refused`',
 	'connection-lost': 'the connection to the instance or the holder ended before the answer',
 	'endpoint-silent': 'the instance did not answer within the time of the statement',
 	'endpoint-error': 'the instance refused or failed the statement',
--- a/packages/pooler/src/session/session.ts
+++ b/packages/pooler/src/session/session.ts
@@ -135,11 +135,11 @@
 			}
 
 			case 'set': {
-				return this.#answerKept(this.#bounded.setValue(statement.name, statement.value, statement.id));
+				return this.#answerKept(statement, this.#bounded.setValue(statement.name, statement.value, statement.id));
 			}
 
 			case 'prepare': {
-				return this.#answerKept(this.#bounded.prepare(statement, statement.id));
+				return this.#answerKept(statement, this.#bounded.prepare(statement, statement.id));
 			}
 
 			case 'deallocate': {
@@ -172,7 +172,7 @@
 		const transactionBytes = statement.id.length + TransactionIds.maxBytes;
 		const reserved = this.#bounded.reserve(transactionBytes, statement.id);
 		if (reserved.isErr()) {
-			return this.#errorAnswer(reserved.error);
+			return this.#reject(statement, reserved.error);
 		}
 
 		this.#transactionBytes = transactionBytes;
@@ -290,9 +290,8 @@
 		return this.#errorAnswer(failure, detail);
 	}
 
-	/** The budget logs a refusal. */
-	#answerKept(kept: Result<void, StatementFailure>): ClientAnswer {
-		return kept.isErr() ? this.#errorAnswer(kept.error) : this.#doneAnswer();
+	#answerKept(statement: ClientStatement, kept: Result<void, StatementFailure>): ClientAnswer {
+		return kept.isErr() ? this.#reject(statement, kept.error) : this.#doneAnswer();
 	}
 
 	#doneAnswer(): ClientAnswer {
--- a/packages/pooler/test/forward/forward.test.ts
+++ b/packages/pooler/test/forward/forward.test.ts
@@ -432,3 +432,99 @@
 	t.equal(signatureOrCode(await commit), 'busy');
 	t.same(holders[0]!.executedCommands, ['t1/write', 't1/abort']);
 });
+
+/** Leaves no memory to the sessions of a holder. */
+const fillMemory = ({memory}: Holder): void => {
+	while (memory.open({owner: 'filler'}).reserve(8000, 'q').isOk()) {
+		// Each account takes its part.
+	}
+};
+
+const withValues = (request: Operation, bytes: number): Operation => {
+	request.session.values.set('tz', 'x'.repeat(bytes));
+	return request;
+};
+
+// Guards against session state from other hosts that fills the memory of a holder, and against a refusal that is not true.
+test('a holder without memory for the session state refuses a statement as not run, and another holder runs it', async t => {
+	const {remote, operation, holders} = createFleet();
+	fillMemory(holders[0]!);
+	t.equal(signatureOrCode(await remote.runSingle(write, true, withValues(operation(), 100_000))), 'sig');
+	t.same(holders.map(({executedCommands}) => executedCommands), [[], ['write']]);
+	fillMemory(holders[1]!);
+	const refused = await remote.runSingle(write, true, operation());
+	t.match(refused._unsafeUnwrapErr(), {code: 'busy', reason: 'process-memory', text: /this statement has not run; retry after 500 ms/});
+	t.same(holders.map(({executedCommands}) => executedCommands), [[], ['write']]);
+	const prepared = {access: 'read' as const, shape: 'x'.repeat(100_000), sharedName: 'r'};
+	const large = {
+		command: {
+			kind: 'execute' as const, id: 'q', name: 'r', argument: '7a',
+		}, prepared,
+	};
+	operation().session.values.clear();
+	t.equal(signatureOrCode(await remote.runSingle(large, false, operation())), 'busy', 'the prepared statement counts as well');
+	t.equal(signatureOrCode(await remote.runSingle(write, true, operation())), 'sig', 'a statement without session state is run');
+});
+
+// Guards against a transaction that goes on at a holder without the session values that its client has set meanwhile.
+test('a transaction whose session state a holder has no memory for is rolled back', async t => {
+	const {remote, operation, holders, timers} = createFleet();
+	const begin = () => remote.begin({
+		id: 'b', readOnly: false, session: operation().session, beganAtMs: timers.nowMs(),
+	});
+	for (const end of ['run', 'commit'] as const) {
+		const transaction = begin();
+		const request = operation();
+		request.session.values.clear();
+		t.equal(signatureOrCode(await transaction.run(write, true, request)), 'sig');
+		const holder = holders.find(({executedCommands}) => executedCommands.length > 0);
+		fillMemory(holder!);
+		withValues(request, 100_000);
+		const result = end === 'run' ? await transaction.run(write, true, request) : await transaction.commit(request);
+		t.equal(signatureOrCode(result), 'busy');
+		await timers.advanceAsync(10, 10);
+		t.same(holder!.executedCommands.splice(0), ['b/write', 'b/abort']);
+	}
+});
+
+// Guards against a holder whose counter does not return to zero after the statements of other hosts have ended.
+test('a holder releases the session state when the statement, transaction or link ends', async t => {
+	const {remote, operation, holders, session, timers} = createFleet();
+	const heldBytes = () => holders.reduce((sum, {memory}) => sum + memory.heldBytes, 0);
+	withValues(operation(), 1000);
+	const begin = async () => {
+		const transaction = remote.begin({
+			id: 'b', readOnly: false, session, beganAtMs: timers.nowMs(),
+		});
+		await transaction.run(write, true, operation());
+		return transaction;
+	};
+
+	await remote.runSingle(write, true, operation());
+	t.equal(heldBytes(), 0, 'after a statement');
+	const committed = await begin();
+	t.ok(heldBytes() > 1000);
+	await committed.commit(operation());
+	t.equal(heldBytes(), 0, 'after a commit');
+	const aborted = await begin();
+	aborted.abort();
+	await timers.advanceAsync(10, 10);
+	t.equal(heldBytes(), 0, 'after an abort');
+	await begin();
+	for (const link of holders.flatMap(({links}) => links)) {
+		link.close();
+	}
+
+	await timers.advanceAsync(10, 10);
+	t.equal(heldBytes(), 0, 'after the end of the link');
+	for (const holder of holders) {
+		holder.answer = async () => {
+			throw new Error('unexpected');
+		};
+	}
+
+	const failing = remote.runSingle(write, true, operation());
+	await timers.advanceAsync(5000, 100);
+	await failing;
+	t.equal(heldBytes(), 0, 'after an unexpected error');
+});
--- a/packages/pooler/test/pool/connection-pool.test.ts
+++ b/packages/pooler/test/pool/connection-pool.test.ts
@@ -149,3 +149,27 @@
 	t.same(fake.executedCommands, ['set', 'rollback']);
 	t.equal(fake.lastConnectionNumber, 1);
 });
+
+// Guards against session values that fill the memory from pooled connections after their sessions have ended.
+test('a connection that holds many session values is reset when it is released', async t => {
+	const {pool, timers, fake} = createPool({guaranteed: 1, maxConnections: 30});
+	const runOnLease = async (valueBytes: number) => {
+		const acquired = pool.acquire({priority: 1, deadlineMs: timers.nowMs() + 1000});
+		await advance(timers, 50);
+		const lease = (await acquired)._unsafeUnwrap();
+		await lease.run({kind: 'set', name: 'tz', value: 'x'.repeat(valueBytes)}, 100);
+		const {size} = lease.values;
+		pool.release(lease);
+		await advance(timers, 50);
+		return size;
+	};
+
+	await runOnLease(1000);
+	t.same(fake.executedCommands, ['set'], 'usual values stay, without a further command');
+	await runOnLease(10_000);
+	t.same(fake.executedCommands, ['set', 'set', 'reset']);
+	const next = pool.acquire({priority: 1, deadlineMs: timers.nowMs() + 1000});
+	await advance(timers, 50);
+	t.same([...(await next)._unsafeUnwrap().values], []);
+	t.equal(fake.connections, 1, 'the connection is kept');
+});
