Soak: any text of the protocol, and every run compared with what was sent

A tenth of the fields that a client of the soak sends is now any text of the protocol; the others stay the usual words, so that several clients still use the same items and the checks of stale reads keep their power. "altered" compares the text too, but for the name of a prepared statement, which hosts may replace. "malformed" is a message that an instance refused by the grammar, "refused-valid" a valid statement that a host answered with MALFORMED. Rows are compared one by one.

Before, the clients sent no shape but q0 to q3.

--- a/packages/load/src/soak/core/run-soak.ts
+++ b/packages/load/src/soak/core/run-soak.ts
@@ -63,6 +63,7 @@
 		const hasConverged = await waitForConvergence(fleet);
 		const history: SoakHistory = {
 			attempts, runs, controls, databases: soakDatabases, drained: injector.drained, stops: injector.stops, disturbances: injector.disturbances,
+			protocolViolations: fleet.groups.flatMap(({group}) => group.protocolViolations),
 			finalLogs: fleet.groups.map(({group}) => ({service: group.service, head: group.leader!.received})),
 		};
 		const violations: Violation[] = [
--- a/packages/load/src/soak/core/soak-client.ts
+++ b/packages/load/src/soak/core/soak-client.ts
@@ -1,4 +1,6 @@
-import {type ClientReply, LineClient} from '@dogwoodthread/platform/standin';
+import {
+	type ClientReply, fieldWord, formatTextStatement, lastField, LineClient, SampleSource, type TextStatement,
+} from '@dogwoodthread/platform/standin';
 import {type SeededRandom} from '../../workload/index.js';
 import {type ClientAttempt, type SoakDatabase} from '../definitions.js';
 import {type SoakHost} from './soak-fleet.js';
@@ -11,14 +13,17 @@
 	onAttempt: (attempt: ClientAttempt) => void;
 };
 
-type StatementFields = Pick<ClientAttempt, 'statementId' | 'access' | 'item' | 'data' | 'shape'>;
+type StatementFields = Pick<ClientAttempt, 'statementId' | 'access' | 'item' | 'data' | 'shape' | 'text'>;
+type Access = 'read' | 'write';
+type Prepared = {name: string; shape: string};
 type Session = {
 	id: number;
 	host: SoakHost;
 	database: SoakDatabase;
 	connection: LineClient;
-	values: Record<string, string>;
-	preparedShapes: Map<string, string>;
+	values: Map<string, string>;
+	/** The statement of each access that was prepared last. */
+	prepared: Map<Access, Prepared>;
 };
 type Transaction = {id: number; beganAtMs: number} | undefined;
 
@@ -36,13 +41,22 @@
 const abandonShare = 0.03;
 const preparedShare = 0.3;
 const maxReconnectDelayMs = 100;
+/** Share of the fields that are any text of the protocol. The checks of stale reads need items that several clients use. */
+const oddTextShare = 0.1;
+const maxSampleSeed = 1_000_000_000;
+const oddTextOptions = {weights: {usual: 0, odd: 200, long: 1}, maxBytes: 20_000};
 
 /** A client that opens one session after another, each with a random host, and reports every statement. */
 export class SoakClient {
 	#isStopping = false;
 	#counter = 0;
+	readonly #oddWords: SampleSource<string>;
+	readonly #oddFields: SampleSource<string>;
 
-	constructor(private readonly options: SoakClientOptions) {}
+	constructor(private readonly options: SoakClientOptions) {
+		this.#oddWords = new SampleSource(fieldWord(oddTextOptions), options.random.int(0, maxSampleSeed));
+		this.#oddFields = new SampleSource(lastField(oddTextOptions), options.random.int(0, maxSampleSeed));
+	}
 
 	stop(): void {
 		this.#isStopping = true;
@@ -74,16 +88,15 @@
 
 		this.#counter += 1;
 		return {
-			id: (this.options.clientNumber * sessionIdStride) + this.#counter, host, database, connection, values: {}, preparedShapes: new Map(),
+			id: (this.options.clientNumber * sessionIdStride) + this.#counter, host, database, connection, values: new Map(), prepared: new Map(),
 		};
 	}
 
 	async #runWrite(session: Session, item: string): Promise<ClientReply> {
 		const statementId = this.#nextId();
-		const data = `data-${statementId}`;
-		return this.#record(session, undefined, {
-			statementId, access: 'write', item, data, shape: undefined,
-		}, async () => session.connection.write(statementId, item, data));
+		return this.#runRecorded(session, undefined, {
+			statementId, access: 'write', item, data: `data-${statementId}`, shape: undefined,
+		});
 	}
 
 	async #runSession(): Promise<void> {
@@ -118,15 +131,21 @@
 
 	async #setSessionValue(session: Session): Promise<boolean> {
 		const id = this.#nextId();
-		const name = `v${this.options.random.int(0, 2)}`;
-		const reply = await session.connection.set(id, name, id);
+		const name = this.#choose(`v${this.options.random.int(0, 2)}`, this.#oddWords);
+		const value = this.#choose(id, this.#oddFields);
+		const reply = await session.connection.set(id, name, value);
 		if (reply.kind === 'done') {
-			session.values[name] = id;
+			session.values.set(name, value);
 		}
 
 		return reply.kind === 'done';
 	}
 
+	/** Mostly the usual text, at times any other. */
+	#choose(usual: string, odd: SampleSource<string>): string {
+		return this.options.random.fraction() < oddTextShare ? odd.next() : usual;
+	}
+
 	async #runTransaction(session: Session): Promise<boolean> {
 		const {random} = this.options;
 		const isReadOnly = random.fraction() < 1 - writeShare;
@@ -160,61 +179,67 @@
 
 	async #commit(session: Session, transaction: Transaction): Promise<boolean> {
 		const statementId = this.#nextId();
-		const reply = await this.#record(session, transaction, {
+		const reply = await this.#runRecorded(session, transaction, {
 			statementId, access: 'commit', item: undefined, data: undefined, shape: undefined,
-		}, async () => session.connection.commit(statementId));
+		});
 		return reply.kind !== 'lost' && reply.transaction === 'idle';
 	}
 
 	async #runStatement(session: Session, transaction: Transaction, isReadOnly = false): Promise<ClientReply> {
 		const {random} = this.options;
 		const access = !isReadOnly && random.fraction() < writeShare ? 'write' : 'read';
-		const shape = random.fraction() < preparedShare && !transaction ? `q${random.int(0, 3)}` : undefined;
-		if (shape) {
-			const prepared = await this.#prepare(session, access, shape);
-			if (prepared.kind !== 'done') {
-				return {kind: 'lost', reason: 'not prepared'};
-			}
+		const isPrepared = random.fraction() < preparedShare && !transaction;
+		const prepared = isPrepared ? await this.#prepare(session, access) : undefined;
+		if (isPrepared && !prepared) {
+			return {kind: 'lost', reason: 'not prepared'};
 		}
 
 		const statementId = this.#nextId();
-		const item = `item-${random.int(1, itemCount)}`;
-		const data = access === 'write' ? `data-${statementId}` : undefined;
-		return this.#record(session, transaction, {
-			statementId, access, item, data, shape,
-		}, async () => {
-			if (shape) {
-				return session.connection.execute(statementId, access, item, data);
-			}
-
-			return data === undefined ? session.connection.read(statementId, item) : session.connection.write(statementId, item, data);
-		});
+		// The item is the last field of `READ` only.
+		const item = this.#choose(`item-${random.int(1, itemCount)}`, access === 'read' && !prepared ? this.#oddFields : this.#oddWords);
+		const data = access === 'write' ? this.#choose(`data-${statementId}`, this.#oddFields) : undefined;
+		return this.#runRecorded(session, transaction, {
+			statementId, access, item, data, shape: prepared?.shape,
+		}, prepared?.name);
 	}
 
-	/** All clients prepare their statements under the same two names, `read` and `write`. */
-	async #prepare(session: Session, access: 'read' | 'write', shape: string): Promise<ClientReply> {
-		const preparedShape = session.preparedShapes.get(access);
-		if (preparedShape === shape) {
-			return {
-				kind: 'done', signature: '', rows: [], transaction: 'idle',
-			};
+	/** Clients mostly prepare their statements under the same two names, `read` and `write`. */
+	async #prepare(session: Session, access: Access): Promise<Prepared | undefined> {
+		const shape = this.#choose(`q${this.options.random.int(0, 3)}`, this.#oddFields);
+		const current = session.prepared.get(access);
+		if (current?.shape === shape) {
+			return current;
 		}
 
-		const reply = await session.connection.prepare(this.#nextId(), access, access, shape);
-		session.preparedShapes.set(access, shape);
-		return reply;
+		const prepared = {name: this.#choose(access, this.#oddWords), shape};
+		const reply = await session.connection.prepare(this.#nextId(), prepared.name, access, shape);
+		if (reply.kind !== 'done') {
+			return undefined;
+		}
+
+		// A name that both accesses have drawn now stands for this statement.
+		for (const [other, {name}] of session.prepared) {
+			if (name === prepared.name) {
+				session.prepared.delete(other);
+			}
+		}
+
+		session.prepared.set(access, prepared);
+		return prepared;
 	}
 
-	async #record(session: Session, transaction: Transaction, sent: StatementFields, send: () => Promise<ClientReply>): Promise<ClientReply> {
+	async #runRecorded(session: Session, transaction: Transaction, sent: Omit<StatementFields, 'text'>, preparedName?: string): Promise<ClientReply> {
+		const text = formatTextStatement(toTextStatement(sent, preparedName));
 		const sentAtMs = performance.now();
-		const reply = await send();
+		const reply = await session.connection.run(sent.statementId, text);
 		this.options.onAttempt({
 			...sent,
+			text,
 			sessionId: session.id,
 			transactionId: transaction?.id,
 			hostIndex: session.host.index,
 			database: session.database.name,
-			sessionValues: {...session.values},
+			sessionValues: Object.fromEntries(session.values),
 			beganAtMs: transaction?.beganAtMs ?? sentAtMs,
 			sentAtMs,
 			endedAtMs: performance.now(),
@@ -235,6 +260,28 @@
 	}
 }
 
+function toTextStatement({access, item = '', data}: Omit<StatementFields, 'text'>, preparedName: string | undefined): TextStatement {
+	if (preparedName !== undefined) {
+		return {
+			kind: 'execute', name: preparedName, item, data,
+		};
+	}
+
+	switch (access) {
+		case 'commit': {
+			return {kind: 'commit'};
+		}
+
+		case 'read': {
+			return {kind: 'read', item};
+		}
+
+		case 'write': {
+			return {kind: 'write', item, data: data ?? ''};
+		}
+	}
+}
+
 function outcomeFields(reply: ClientReply): Pick<ClientAttempt, 'outcome' | 'reason' | 'signature' | 'rows'> {
 	if (reply.kind === 'done') {
 		return {
--- a/packages/load/src/soak/definitions.ts
+++ b/packages/load/src/soak/definitions.ts
@@ -1,4 +1,6 @@
-import {type ControlRecord, type LogEntry, type RunRecord} from '@dogwoodthread/platform/standin';
+import {
+	type ControlRecord, type LogEntry, type ProtocolViolation, type RunRecord,
+} from '@dogwoodthread/platform/standin';
 
 export type Consistency = 'primary' | 'bounded-staleness' | 'read-your-writes';
 
@@ -16,7 +18,7 @@
 
 export type ViolationKind
 	= | 'lost' | 'doubled' | 'altered' | 'mixed' | 'stale' | 'false-not-run' | 'pinning' | 'routing' | 'late-to-drained'
-		| 'configuration-regress' | 'configuration-late' | 'cut-at-stop' | 'late-stop' | 'no-recovery' | 'crash' | 'fencing';
+		| 'malformed' | 'refused-valid' | 'configuration-regress' | 'configuration-late' | 'cut-at-stop' | 'late-stop' | 'no-recovery' | 'crash' | 'fencing';
 
 export type Violation = {kind: ViolationKind; statementId: string; detail: string};
 
@@ -32,6 +34,8 @@
 	item: string | undefined;
 	data: string | undefined;
 	shape: string | undefined;
+	/** The statement as the client sent it. */
+	text: string;
 	/** Session values whose `SET` was acknowledged before the statement. */
 	sessionValues: Readonly<Record<string, string>>;
 	/** When the first byte of the statement, or of its transaction, was sent (monotonic time). */
@@ -59,6 +63,8 @@
 	attempts: readonly ClientAttempt[];
 	runs: readonly RunRecord[];
 	controls: readonly ControlRecord[];
+	/** Messages that an instance refused because they are malformed. */
+	protocolViolations: readonly ProtocolViolation[];
 	databases: readonly SoakDatabase[];
 	finalLogs: readonly FinalLog[];
 	/** Instances that announced a drain, with the time at which the store acknowledged it. */
--- a/packages/load/src/soak/domain/history-checks.ts
+++ b/packages/load/src/soak/domain/history-checks.ts
@@ -59,20 +59,37 @@
 	.filter(([, entries]) => entries.length > 1)
 	.map(([statementId, entries]) => createViolation('doubled', statementId, `the log contains it ${entries.length} times`));
 
+/** The text without the name of a prepared statement, which hosts may replace. */
+const textWithoutName = (text: string): string => text.replace(/^EXECUTE [^ ]+ /, 'EXECUTE ');
+
+const maxShownTextLength = 200;
+const showText = (text: string): string => JSON.stringify(text.slice(0, maxShownTextLength));
+
+const showStatement = ({text, shape}: {text: string; shape: string | undefined}): string => `${showText(text)} with shape ${shape === undefined ? 'none' : showText(shape)}`;
+
 const checkAlteredStatements: Check = ({attempts, runs}) => [...runs.values()].flat().flatMap(run => {
 	const attempt = attempts.get(run.statementId);
 	if (!attempt) {
-		return [createViolation('altered', run.statementId, 'no client sent this statement')];
+		return [createViolation('altered', run.statementId, `no client sent this statement: ${showText(run.text)}`)];
 	}
 
-	const isSame = (['access', 'item', 'data', 'shape'] as const).every(field => run[field] === attempt[field]);
-	return isSame ? [] : [createViolation('altered', run.statementId, 'ran with another access, item, data or shape than the client sent')];
+	const changedFields = (['access', 'item', 'data', 'shape'] as const).filter(field => run[field] !== attempt[field]);
+	const changed = [...changedFields, ...(textWithoutName(run.text) === textWithoutName(attempt.text) ? [] : ['text'])].join(', ');
+	return changed === '' ? [] : [createViolation('altered', run.statementId, `ran with another ${changed}: sent ${showStatement(attempt)}, ran ${showStatement(run)}`)];
 });
 
+const checkProtocol: Check = ({history}) => history.protocolViolations.map(({instanceId, line, reason}) =>
+	createViolation('malformed', '', `${instanceId} received ${showText(line)}: ${reason}`));
+
+/** The clients send valid text only. In a transaction that failed, `malformed` is the answer to every statement. */
+const checkRefusedText: Check = ({attempts}) => [...attempts.values()]
+	.filter(({transactionId, reason}) => transactionId === undefined && reason === 'malformed')
+	.map(({statementId, text}) => createViolation('refused-valid', statementId, `refused as malformed: ${showText(text)}`));
+
 const checkMixedAnswers: Check = ({attempts, runs}) => [...attempts.values()]
 	.filter(({outcome}) => outcome === 'done')
 	.filter(({statementId, signature, rows}) => !(runs.get(statementId) ?? []).some(run =>
-		run.signature === signature && run.rows.join('\n') === rows.join('\n')))
+		run.signature === signature && isDeepStrictEqual([...run.rows], [...rows])))
 	.map(({statementId}) => createViolation('mixed', statementId, 'no instance ran it with the signature and rows of the answer'));
 
 const checkFalseNotRun: Check = index => [...index.attempts.values()]
@@ -179,7 +196,18 @@
 }
 
 const checks: readonly Check[] = [
-	checkLostWrites, checkDoubledWrites, checkAlteredStatements, checkMixedAnswers, checkFalseNotRun, checkStaleReads, checkPinning, checkRouting, checkDrainedInstances, checkStops,
+	checkLostWrites,
+	checkDoubledWrites,
+	checkAlteredStatements,
+	checkProtocol,
+	checkRefusedText,
+	checkMixedAnswers,
+	checkFalseNotRun,
+	checkStaleReads,
+	checkPinning,
+	checkRouting,
+	checkDrainedInstances,
+	checkStops,
 ];
 
 /** Checks the guarantees given to clients against what clients and instances recorded. */
--- a/packages/load/test/soak/history-checks.test.ts
+++ b/packages/load/test/soak/history-checks.test.ts
@@ -17,6 +17,7 @@
 	item: 'lane',
 	data: `data-${statementId}`,
 	shape: undefined,
+	text: `WRITE lane data-${statementId}`,
 	sessionValues: {tz: 'EAT'},
 	beganAtMs: sentAtMs,
 	sentAtMs,
@@ -38,6 +39,7 @@
 	item: 'lane',
 	data: `data-${statementId}`,
 	shape: undefined,
+	text: `WRITE lane data-${statementId}`,
 	sessionValues: {tz: 'EAT'},
 	applied,
 	signature: `signed-${statementId}`,
@@ -46,7 +48,9 @@
 	...overrides,
 });
 
-const read = {access: 'read', data: undefined, rows: ['data-w1']} as const;
+const read = {
+	access: 'read', data: undefined, text: 'READ lane', rows: ['data-w1'],
+} as const;
 const first = commit(emptyLog, 'w1');
 const second = commit(first, 'w2', 'w3');
 
@@ -58,7 +62,7 @@
 		attempt('w2', 300, {transactionId: 7}),
 		attempt('w3', 320, {transactionId: 7}),
 		attempt('c1', 340, {
-			transactionId: 7, access: 'commit', item: undefined, data: undefined,
+			transactionId: 7, access: 'commit', item: undefined, data: undefined, text: 'COMMIT',
 		}),
 	],
 	runs: [
@@ -67,10 +71,11 @@
 		run('w2', first, {transactionId: 70}),
 		run('w3', first, {transactionId: 70}),
 		run('c1', first, {
-			transactionId: 70, access: 'commit', item: undefined, data: undefined,
+			transactionId: 70, access: 'commit', item: undefined, data: undefined, text: 'COMMIT',
 		}),
 	],
 	controls: [],
+	protocolViolations: [],
 	databases: [{
 		name: 'holds', service: 'ledger', consistency: 'primary', maxStalenessMs: 0,
 	}],
@@ -101,6 +106,21 @@
 	'an instance ran other data': withRun('w1', {data: 'altered'}),
 	'an instance ran a statement that no client sent': {runs: [...validHistory.runs, run('x1', first)]},
 	'an instance ran another shape': withRun('r1', {shape: 'q2'}),
+	'an instance ran another text with the same fields': withRun('w1', {text: 'WRITE  lane data-w1'}),
+	'an instance ran a prepared statement under another name': {
+		...withRun('r1', {shape: 'q2', text: 'EXECUTE r_1 lane'}), ...withAttempt('r1', {shape: 'q2', text: 'EXECUTE s1 lane'}),
+	},
+	'an instance ran a part of the shape as the item': {
+		...withRun('r1', {shape: 'ulwt READ qb READ ulwt', item: 'READ', text: 'EXECUTE r_qb READ ulwt 17'}),
+		...withAttempt('r1', {shape: 'qb READ ulwt', item: '17', text: 'EXECUTE s1 17'}),
+	},
+	'an instance received a message that the grammar does not allow': {
+		protocolViolations: [{
+			instanceId: 'i-1', connectionId: 1, line: 'QUERY - PREPARE r_a b READ a b', reason: 'expected READ or WRITE',
+		}],
+	},
+	'valid text was refused as malformed': {attempts: [...validHistory.attempts, attempt('r2', 200, {...read, outcome: 'unknown', reason: 'malformed'})]},
+	'the answer has rows that only look the same when they are joined': {...withRun('r1', {rows: ['a', 'b']}), ...withAttempt('r1', {rows: ['a\nb']})},
 	'the answer has other rows': withAttempt('r1', {rows: ['data-w9']}),
 	'the answer does not have the signature of an instance': withAttempt('w1', {signature: '-'}),
 	'a refused write is in the log': withAttempt('w1', {outcome: 'promised-not-run', reason: 'busy'}),
--- a/tap-snapshots/packages/load/test/soak/history-checks.test.ts.test.cjs
+++ b/tap-snapshots/packages/load/test/soak/history-checks.test.ts.test.cjs
@@ -47,6 +47,40 @@
       "altered r1",
     ],
   ],
+  Array [
+    "an instance ran another text with the same fields",
+    Array [
+      "altered w1",
+    ],
+  ],
+  Array [
+    "an instance ran a prepared statement under another name",
+    Array [],
+  ],
+  Array [
+    "an instance ran a part of the shape as the item",
+    Array [
+      "altered r1",
+    ],
+  ],
+  Array [
+    "an instance received a message that the grammar does not allow",
+    Array [
+      "malformed ",
+    ],
+  ],
+  Array [
+    "valid text was refused as malformed",
+    Array [
+      "refused-valid r2",
+    ],
+  ],
+  Array [
+    "the answer has rows that only look the same when they are joined",
+    Array [
+      "mixed r1",
+    ],
+  ],
   Array [
     "the answer has other rows",
     Array [
