Set session values before a commit

What callers saw: a value that a client had set in a transaction after its last statement, acknowledged, was not in force at the instance when the COMMIT ran (PINNED counts every statement).

Cause: values are set on the connection with the next read or write, and a commit was not one. It prepares the connection now as they do, which sends nothing if nothing was set. If it fails, no commit was sent, and the transaction is rolled back.

--- a/packages/pooler/src/session/transaction.ts
+++ b/packages/pooler/src/session/transaction.ts
@@ -10,6 +10,7 @@
 } from './operation.js';
 import {type TransactionHandle} from './executor.js';
 import {lastingRefusal, prepareConnection} from './prepare-connection.js';
+import {type PreparedStatement} from './prepared-statement.js';
 import {runUnlessSilent} from './run-unless-silent.js';
 import {rollBackAndRelease, type SingleStatement} from './single-statement.js';
 import {type SessionState} from './session-state.js';
@@ -55,16 +56,9 @@
 		}
 
 		const held = begun.value;
-		const {session, context: {events}} = this.options;
-		const ready = await prepareConnection(held, {id: operation.id, session}, statement.prepared, {timeoutMs: this.#remainingMs(operation), events});
-		if (this.#state !== 'open') {
-			// The transaction was ended or expired meanwhile, which also stops the preparation.
-			return err(statementFailure('transaction-failed'));
-		}
-
+		const ready = await this.#prepareHeld(held, statement.prepared, operation);
 		if (ready.isErr()) {
-			const refusal = lastingRefusal(ready.error);
-			return refusal ? this.#fail(preparationFailure(refusal)) : this.#failAfterConnectionLoss(held, ready.error.kind === 'silent');
+			return err(ready.error);
 		}
 
 		this.#hasWritten ||= isWrite;
@@ -79,6 +73,11 @@
 		}
 
 		const held = begun.value;
+		const ready = await this.#prepareHeld(held, undefined, operation);
+		if (ready.isErr()) {
+			return err(ready.error);
+		}
+
 		// The commit gives the connection back itself; an abort meanwhile must not do it a second time.
 		this.#held = undefined;
 		const command = {kind: 'commit', id: operation.id} as const;
@@ -121,6 +120,23 @@
 		this.#releaseWithRollback();
 	}
 
+	/** Sets up what the client has set or prepared since the last statement. The transaction fails if that is not possible. */
+	async #prepareHeld(held: HeldConnection, statement: PreparedStatement | undefined, operation: LocalOperation): Promise<Result<void, StatementFailure>> {
+		const {session, context: {events}} = this.options;
+		const ready = await prepareConnection(held, {id: operation.id, session}, statement, {timeoutMs: this.#remainingMs(operation), events});
+		if (this.#state !== 'open') {
+			// The transaction was ended or expired meanwhile, which also stops the preparation.
+			return err(statementFailure('transaction-failed'));
+		}
+
+		if (ready.isOk()) {
+			return ok();
+		}
+
+		const refusal = lastingRefusal(ready.error);
+		return refusal ? this.#fail(preparationFailure(refusal)) : this.#failAfterConnectionLoss(held, ready.error.kind === 'silent');
+	}
+
 	/** Failure for a commit without an answer: the outcome is in doubt only if the transaction wrote something. */
 	#commitFailure(kind: 'lost' | 'silent'): StatementFailure {
 		if (!this.#hasWritten) {
