Session: drop the ids of a transaction when it ends

The first 16 ids of a transaction stayed until the next statement outside a transaction, up to 1.8 KB a session, although their memory was counted as released. They are now dropped after the commit is logged, and at a rollback.

--- a/packages/pooler/src/session/session.ts
+++ b/packages/pooler/src/session/session.ts
@@ -33,7 +33,7 @@
 	#transactionExecutor: Executor | undefined;
 	#expiryReason: 'idle-in-transaction' | 'shutting-down' | undefined;
 	#isBusy = false;
-	/** Ids of the statements of the latest transaction; undefined after a statement outside a transaction. */
+	/** Ids of the statements of the open transaction; those of a failed one stay until the next statement that is run. */
 	#transactionIds: TransactionIds | undefined;
 	/** Memory that is reserved for the ids of the open transaction. */
 	#transactionBytes = 0;
@@ -202,7 +202,9 @@
 		const operation = this.#createOperation(statement.id, this.#transactionRoute!);
 		const result = await transaction.commit(operation);
 		this.#endTransaction();
-		return this.#finishOperation(operation, result, 'commit', executor);
+		const answer = this.#finishOperation(operation, result, 'commit', executor);
+		this.#transactionIds = undefined;
+		return answer;
 	}
 
 	#rollback(statement: Extract<ClientStatement, {kind: 'rollback'}>): ClientAnswer {
@@ -211,6 +213,7 @@
 		}
 
 		this.#endTransaction();
+		this.#transactionIds = undefined;
 		return this.#doneAnswer();
 	}
 
