An error for a command that was not sent is no sign of life of the instance

What callers could see: a frozen instance that counts as answering, and is replaced later, while a client sends statements that no message can carry.

--- a/packages/pooler/src/endpoint/definitions.ts
+++ b/packages/pooler/src/endpoint/definitions.ts
@@ -31,6 +31,8 @@
 	transaction: TransactionState;
 	/** Log position that the endpoint has applied. */
 	position?: LogPosition;
+	/** Whether the command was refused at this host, without a byte to the endpoint, because no message can carry it. */
+	isUnsent?: boolean;
 };
 
 /** Status that an endpoint reports in answer to `status`, `fence`, `resume` and `step-down`. */
--- a/packages/pooler/src/session/operation.ts
+++ b/packages/pooler/src/session/operation.ts
@@ -174,6 +174,11 @@
 		return err(answer.error.kind);
 	}
 
+	if (answer.value.isUnsent) {
+		// No sign of life of the member.
+		return ok(answer.value);
+	}
+
 	held.member.recordAnswer(answer.value.position);
 	if (command.kind === 'read' || command.kind === 'write' || command.kind === 'execute') {
 		held.member.recordLatency(timers.nowMs() - sentAtMs);
