Tell a refusal for good only where the instance has done nothing, and make room with two commands at most

Only MALFORMED and TOOBIG to SET and PREPARE are told now; after any other error the connection is closed and another one tried, as before; - a long shape that takes the place of many short ones waited for the removal of each.

--- a/packages/pooler/src/pool/prepared-names.ts
+++ b/packages/pooler/src/pool/prepared-names.ts
@@ -1,11 +1,11 @@
 /** Largest number of statements that stay prepared on one connection. */
 const maxNames = 256;
-/** Largest total length of the shapes that stay prepared on one connection, in characters. The endpoint keeps them. */
+/** Largest total length of the shapes that stay prepared beside a new one, in characters. The endpoint keeps them. */
 const maxShapeLength = 262_144;
 
 /**
  * Names of the statements that are prepared on a connection, the least recently used first. They are bounded, because
- * clients may prepare new shapes without end and a connection outlives its users. A shape over the limit is kept alone.
+ * clients may prepare new shapes without end and a connection outlives its users.
  */
 export class PreparedNames {
 	readonly #shapeLengths = new Map<string, number>();
@@ -15,15 +15,15 @@
 		return this.#shapeLengths.has(name);
 	}
 
-	/** Names to deallocate at the endpoint before a shape of this length is prepared. */
-	namesToDeallocate(shapeLength: number): string[] {
+	/**
+	 * Names to deallocate at the endpoint before another statement is prepared, two at most: the least recently used one, and
+	 * the longest one, which makes up for the shape that was added last.
+	 */
+	get namesToDeallocate(): string[] {
 		const names = [...this.#shapeLengths.keys()];
-		let remaining = this.#totalLength;
-		return names.filter((name, index) => {
-			const isOver = names.length - index >= maxNames || remaining + shapeLength > maxShapeLength;
-			remaining -= isOver ? this.#shapeLengths.get(name)! : 0;
-			return isOver;
-		});
+		const leastUsed = names.length >= maxNames ? names.slice(0, 1) : [];
+		const longest = this.#totalLength > maxShapeLength ? [this.#longestName] : [];
+		return [...new Set([...leastUsed, ...longest])];
 	}
 
 	add(name: string, shapeLength: number): void {
@@ -50,4 +50,9 @@
 		this.#shapeLengths.clear();
 		this.#totalLength = 0;
 	}
+
+	get #longestName(): string {
+		const [name] = [...this.#shapeLengths].reduce((longest, entry) => entry[1] > longest[1] ? entry : longest);
+		return name;
+	}
 }
--- a/packages/pooler/src/session/prepare-connection.ts
+++ b/packages/pooler/src/session/prepare-connection.ts
@@ -2,12 +2,13 @@
 import {type EndpointAnswer, type EndpointCommand} from '../endpoint/index.js';
 import {type EventLog} from '../observability/index.js';
 import {type ConnectionLease, type LeaseError} from '../pool/index.js';
+import {type ErrorCode} from '../statement/index.js';
 import {type HeldConnection, type Operation} from './operation.js';
 import {type PreparedStatement} from './prepared-statement.js';
 import {type SessionState} from './session-state.js';
 
 /** The session state could not be set up on the connection; the statement was not sent. */
-export type PrepareError = LeaseError | {kind: 'refused'; message: string; refusal: NonNullable<EndpointAnswer['error']>};
+export type PrepareError = LeaseError | {kind: 'refused'; message: string; command: EndpointCommand['kind']; refusal: NonNullable<EndpointAnswer['error']>};
 
 /**
  * Sets up the session values and the prepared statement of the session on a connection. Waits for the answer to each
@@ -29,7 +30,9 @@
 		const {error: refusal} = answer.value;
 		const isGone = command.kind === 'deallocate' && refusal?.code === 'unknown-statement';
 		if (refusal && !isGone) {
-			return err({kind: 'refused', message: `${command.kind} was refused: ${refusal.text}`, refusal});
+			return err({
+				kind: 'refused', message: `${command.kind} was refused: ${refusal.text}`, command: command.kind, refusal,
+			});
 		}
 
 		if (command.kind === 'prepare') {
@@ -43,12 +46,17 @@
 	return ok();
 }
 
+/** Codes of an endpoint that has done nothing, and would refuse the same text again. */
+const lastingRefusalCodes: ReadonlySet<ErrorCode> = new Set(['malformed', 'too-large']);
+
 /**
- * The endpoint's reason if it refuses what the client has set or prepared, as it would the next time too; undefined if
- * the preparation may succeed on another connection.
+ * The endpoint's reason if it refuses for good what the client has set or prepared; the connection is as before. After any
+ * other error the state of the connection is not known, and the preparation may succeed on another one.
  */
 export const lastingRefusal = (error: PrepareError): NonNullable<EndpointAnswer['error']> | undefined =>
-	error.kind === 'refused' && error.refusal.code !== 'busy' ? error.refusal : undefined;
+	error.kind === 'refused' && (error.command === 'set' || error.command === 'prepare') && lastingRefusalCodes.has(error.refusal.code)
+		? error.refusal
+		: undefined;
 
 function preparationCommands(connection: ConnectionLease, session: SessionState, statement: PreparedStatement | undefined): EndpointCommand[] {
 	const needsReset = [...connection.values.keys()].some(name => !session.values.has(name));
@@ -63,7 +71,7 @@
 		}]
 		: [];
 	const deallocate = needsPrepare && !needsReset
-		? connection.prepared.namesToDeallocate(statement.shape.length).map((name): EndpointCommand => ({kind: 'deallocate', name}))
+		? connection.prepared.namesToDeallocate.map((name): EndpointCommand => ({kind: 'deallocate', name}))
 		: [];
 	return [...(needsReset ? [{kind: 'reset'} as const] : []), ...values, ...deallocate, ...prepare];
 }
--- a/packages/pooler/src/session/run-bounded-read.ts
+++ b/packages/pooler/src/session/run-bounded-read.ts
@@ -164,10 +164,12 @@
 		return finalOutcome(err(endpointFailure(error)));
 	}
 
-	if (error.code !== 'unknown-statement') {
-		constraints.excluded.add(member.id);
-		member.avoidedUntilMs = context.timers.nowMs() + avoidAfterFailureMs;
+	if (error.code === 'unknown-statement') {
+		// The endpoint has forgotten it; it is prepared again.
+		return notRunOutcome(statementFailure('no-reader'));
 	}
 
+	constraints.excluded.add(member.id);
+	member.avoidedUntilMs = context.timers.nowMs() + avoidAfterFailureMs;
 	return notRunOutcome(endpointFailure(error));
 }
--- a/packages/pooler/src/session/single-statement.ts
+++ b/packages/pooler/src/session/single-statement.ts
@@ -56,7 +56,8 @@
 /** Turns an endpoint's error into an outcome: `not-run` if the error means that nothing ran, otherwise final. */
 export function handleEndpointError(error: NonNullable<EndpointAnswer['error']>, held: HeldConnection, statement: SingleStatement, {group}: LocalOperation): AttemptOutcome {
 	if (error.code === 'unknown-statement' && statement.prepared) {
-		return notRunOutcome(endpointFailure(error));
+		// The endpoint has forgotten it; it is prepared again.
+		return notRunOutcome(statementFailure('no-reader'));
 	}
 
 	if (error.code === 'read-only') {
