--- a/packages/pooler/src/pool/prepared-names.ts
+++ b/packages/pooler/src/pool/prepared-names.ts
@@ -52,7 +52,7 @@
 	}
 
 	get #longestName(): string {
-		const [name] = [...this.#shapeLengths].reduce((longest, entry) => entry[1] > longest[1] ? entry : longest);
-		return name;
+		const [longest] = [...this.#shapeLengths].toSorted(([, length], [, otherLength]) => otherLength - length);
+		return longest![0];
 	}
 }
--- a/packages/pooler/test/session/refused-preparation.test.ts
+++ b/packages/pooler/test/session/refused-preparation.test.ts
@@ -27,7 +27,9 @@
 
 	open(): Session {
 		this.#catalog.onConfiguration(configuration);
-		return new Session('holds', {...this.#context, catalog: this.#catalog, executorOf: () => this.#executor, memory: createSessionMemory().memory});
+		return new Session('holds', {
+			...this.#context, catalog: this.#catalog, executorOf: () => this.#executor, memory: createSessionMemory().memory,
+		});
 	}
 
 	async send(session: Session, statement: ClientStatement): Promise<string> {
--- a/packages/pooler/test/session/unsent-command.test.ts
+++ b/packages/pooler/test/session/unsent-command.test.ts
@@ -46,7 +46,9 @@
 
 	open(): Session {
 		this.#catalog.onConfiguration(configuration);
-		return new Session('holds', {...this.#context, catalog: this.#catalog, executorOf: () => this.#executor, memory: createSessionMemory().memory});
+		return new Session('holds', {
+			...this.#context, catalog: this.#catalog, executorOf: () => this.#executor, memory: createSessionMemory().memory,
+		});
 	}
 }
 
