--- a/tap-snapshots/platform/test/wire.test.ts.test.cjs
+++ b/tap-snapshots/platform/test/wire.test.ts.test.cjs
@@ -311,22 +311,27 @@
   Object {
     "id": "",
     "kind": "malformed",
-    "reason": "QUERY takes an id other than -, and a statement",
+    "reason": "QUERY takes an id other than - of at most 1024 characters, and a statement",
   },
   Object {
     "id": "-",
     "kind": "malformed",
-    "reason": "QUERY takes an id other than -, and a statement",
+    "reason": "QUERY takes an id other than - of at most 1024 characters, and a statement",
   },
   Object {
     "id": "a\\rb",
     "kind": "malformed",
-    "reason": "QUERY takes an id other than -, and a statement",
+    "reason": "QUERY takes an id other than - of at most 1024 characters, and a statement",
   },
   Object {
     "id": "Ċ",
     "kind": "malformed",
-    "reason": "QUERY takes an id other than -, and a statement",
+    "reason": "QUERY takes an id other than - of at most 1024 characters, and a statement",
+  },
+  Object {
+    "id": "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx",
+    "kind": "malformed",
+    "reason": "QUERY takes an id other than - of at most 1024 characters, and a statement",
   },
 ]
 `
