--- a/tap-snapshots/platform/test/dogwood-pooler.test.ts.test.cjs
+++ b/tap-snapshots/platform/test/dogwood-pooler.test.ts.test.cjs
@@ -22,14 +22,6 @@
 ]
 `
 
-exports[`platform/test/dogwood-pooler.test.ts > TAP > a shutdown answers statements that outlast the grace period > must match snapshot 1`] = `
-Array [
-  "ERROR INDOUBT this host stopped before the instance had answered; read back on a new connection before repeating | READY I -",
-  "ERROR ABORTED this host is stopping and rolled the transaction back; repeat it on a new connection | READY I -",
-  "ERROR ABORTED this host is stopping and rolled the transaction back; repeat it on a new connection | READY T -",
-]
-`
-
 exports[`platform/test/dogwood-pooler.test.ts > TAP > invalid input is answered with an error and other clients are served > must match snapshot 1`] = `
 Array [
   "ERROR MALFORMED the first message must be STARTUP with a database | closed",
