--- a/packages/load/test/soak/history-checks.test.ts
+++ b/packages/load/test/soak/history-checks.test.ts
@@ -116,7 +116,7 @@
 	},
 	'an instance received a message that the grammar does not allow': {
 		protocolViolations: [{
-			instanceId: 'i-1', connectionId: 1, line: 'QUERY - PREPARE r_a b READ a b', reason: 'expected READ or WRITE',
+			instanceId: 'i-1', connectionId: 1, line: 'QUERY - PREPARE r_a b READ a b', reason: 'expected READ or WRITE', receivedAtMs: 0,
 		}],
 	},
 	'valid text was refused as malformed': {attempts: [...validHistory.attempts, attempt('r2', 200, {...read, outcome: 'unknown', reason: 'malformed'})]},
