Fuzz run: messages between hosts that a host acts on

The messages at the port between hosts carried no reading of the host's clock, so all of them counted as late and nothing ran. The player now uses the reading of the host's first message, beside a valid message a changed one. A success that no instance ran counts as an answer of another statement, unless answers of instances are changed in the same run.

--- a/packages/load/src/fuzz/core/players.ts
+++ b/packages/load/src/fuzz/core/players.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {connect} from 'node:net';
+import {connect, type Socket} from 'node:net';
 import {LineClient, TextClient} from '@dogwoodthread/platform/standin';
 import {type SeededRandom} from '../../workload/index.js';
 import {type FuzzPlayer, type FuzzTarget} from '../definitions.js';
@@ -19,8 +19,8 @@
 
 const noise = (random: SeededRandom): Buffer => Buffer.from(Array.from({length: random.int(1, maxNoiseBytes)}, () => random.int(0, highestByte)));
 
-/** Writes the bytes and waits for the end of the connection, for a limited time. */
-async function sendBytes(port: number, chunks: ReadonlyArray<Buffer | string>): Promise<void> {
+/** Opens a connection and waits for its end, for a limited time. */
+async function withSocket(port: number, use: (socket: Socket) => void): Promise<void> {
 	await new Promise<void>(resolve => {
 		const socket = connect({port, host: '127.0.0.1'});
 		socket.on('error', () => undefined);
@@ -31,12 +31,32 @@
 		socket.once('close', () => {
 			resolve();
 		});
+		use(socket);
+	});
+}
+
+async function sendBytes(port: number, chunks: ReadonlyArray<Buffer | string>): Promise<void> {
+	await withSocket(port, socket => {
 		for (const chunk of chunks) {
 			socket.write(chunk, 'latin1');
 		}
 	});
 }
 
+type Clock = {timeMs: number; epoch: number};
+
+/** Sends messages that carry a reading of the host's clock, which its first message has: without it they count as late. */
+async function sendToPeer(port: number, createMessages: (clock: Clock) => ReadonlyArray<Buffer | string>): Promise<void> {
+	await withSocket(port, socket => {
+		socket.once('data', (greeting: Buffer) => {
+			const {clock} = JSON.parse(greeting.toString().split('\n')[0]!) as {clock: Clock};
+			for (const message of createMessages(clock)) {
+				socket.write(message);
+			}
+		});
+	});
+}
+
 /** Sends generated statements in a session and hands over what the instances have to run. */
 class TextPlayer implements FuzzPlayer {
 	get name(): string {
@@ -128,11 +148,11 @@
 	}
 }
 
-const validPeerMessages = (id: string): unknown[] => {
+const validPeerMessages = (id: string, sentAt: Clock): unknown[] => {
 	const statement = {
 		requestId: id, service: 'ledger', consistency: 'primary', maxStalenessMs: 0, priority: 1, latencyObjectiveMs: 400, leftMs: 500, values: [['tz', 'EAT']],
 	};
-	const header = {call: 1, sentAt: {timeMs: 0, epoch: 0}, statement};
+	const header = {call: 1, sentAt, statement};
 	const transaction = {transaction: 1, isFirst: true, begin: {id, readOnly: false}};
 	const read = {command: {kind: 'read', id, text: 'READ item-1'}, isWrite: false};
 	const prepared = {access: 'read', shape: 'q0', sharedName: 'r_q0'};
@@ -177,11 +197,13 @@
 	}
 
 	async play({random, ports, nextNumber}: FuzzTarget): Promise<void> {
-		await Promise.all(Array.from({length: noiseConnectionsPerRound}, async () => {
-			const messages = validPeerMessages(`peer-${nextNumber()}`).map(message => random.fraction() < 1 / 2 ? JSON.stringify(message) : mutateJson(random, message));
-			const mutated = random.fraction() < 1 / 3 ? mutateText(random, random.pick(messages)!) : random.pick(messages)!;
-			await sendBytes(ports.peers, [random.fraction() < 1 / 10 ? noise(random) : '', `${random.pick(messages)!}\n${mutated}\n`]);
-		}));
+		await Promise.all(Array.from({length: noiseConnectionsPerRound}, async () => sendToPeer(ports.peers, clock => {
+			const valid = validPeerMessages(`peer-${nextNumber()}`, clock);
+			const first = JSON.stringify(random.pick(valid));
+			const second = mutateJson(random, random.pick(valid));
+			const last = random.fraction() < 1 / 3 ? mutateText(random, second) : second;
+			return random.fraction() < 1 / 10 ? [noise(random), '\n'] : [`${first}\n${last}\n`];
+		})));
 	}
 }
 
--- a/packages/load/src/fuzz/core/run-fuzz.ts
+++ b/packages/load/src/fuzz/core/run-fuzz.ts
@@ -19,8 +19,10 @@
 const playersAtOnce = 4;
 const pollIntervalMs = 50;
 const readyTimeoutMs = 40_000;
-/** Ids of statements that are not compared: those of attacks whose effect is not modelled. */
+/** Ids of the statements of attacks whose effect is not compared. */
 const unmodelledId = /^(large|peer)-/;
+/** Ids that the clients give. A changed message between hosts may carry any other id. */
+const clientId = /^(c|bad-)\d/;
 
 const freePort = async (): Promise<number> => new Promise(resolve => {
 	const server = createServer().listen(0, '127.0.0.1', () => {
@@ -198,8 +200,12 @@
 		}
 	}
 
+	#isCompared(statementId: string): boolean {
+		return !unmodelledId.test(statementId) && (this.#rounds['peer-messages'] === undefined || clientId.test(statementId));
+	}
+
 	#compare(): void {
-		for (const run of this.#runs.filter(({statementId}) => !unmodelledId.test(statementId))) {
+		for (const run of this.#runs.filter(({statementId}) => this.#isCompared(statementId))) {
 			const difference = findDifference(this.#sent.get(run.statementId), run);
 			if (difference) {
 				this.#findings.push({
@@ -209,10 +215,12 @@
 		}
 
 		const runsBySignature = new Map(this.#runs.map(run => [run.signature, run]));
-		for (const [id, {reply}] of this.#sent) {
+		// The signature of a changed answer may be any text.
+		const areAnswersIntact = this.#rounds['instance-answers'] === undefined;
+		for (const [id, {reply, expected}] of this.#sent) {
 			const run = reply.kind === 'done' ? runsBySignature.get(reply.signature) : undefined;
-			if (run && run.statementId !== id) {
-				this.#report('text', 'other-answer', `${id} was answered with the run of ${run.statementId}`);
+			if (run ? run.statementId !== id : areAnswersIntact && expected && reply.kind === 'done') {
+				this.#report('text', 'other-answer', `${id} was answered with ${run ? `the run of ${run.statementId}` : 'success, but no instance ran it'}`);
 			}
 		}
 
@@ -238,7 +246,7 @@
 			rounds: this.#rounds,
 			statements: this.#sent.size,
 			served: [...this.#sent.values()].filter(({reply}) => reply.kind === 'done').length,
-			unmodelledRuns: this.#runs.filter(({statementId}) => unmodelledId.test(statementId)).length,
+			unmodelledRuns: this.#runs.filter(({statementId}) => !this.#isCompared(statementId)).length,
 			peakMemoryMebibytes: this.#peakMemoryMebibytes,
 			findings,
 			findingCounts,
