--- a/packages/load/src/bin/dogwood-fuzz.ts
+++ b/packages/load/src/bin/dogwood-fuzz.ts
@@ -1,16 +1,12 @@
 #!/usr/bin/env node
 /** `dogwood-fuzz`: the fuzz run of the daemon on the users' platform. */
-import {readFileSync} from 'node:fs';
 import {cac} from 'cac';
-import pino from 'pino';
-import {parse} from 'yaml';
 import {z} from 'zod';
 import {fuzzPlayerNames, runFuzz, type FuzzReport} from '../fuzz/index.js';
-import {exitWithUsageError, parseCommandLine, runProgram} from './run-program.js';
+import {exitWithUsageError, parseCommandLine} from './run-program.js';
+import {createProgramLog, playRuns, readRegressions} from './seed-runs.js';
 
 const maxSeconds = 3600;
-/** Start and end of one seed, in ms. */
-const overheadMs = 120_000;
 /** Findings in the result; the counts cover all of them. */
 const shownFindings = 20;
 
@@ -20,18 +16,10 @@
 	only: z.preprocess(value => typeof value === 'string' ? value.split(',') : value, z.array(z.enum(fuzzPlayerNames as [string, ...string[]])).default([])),
 });
 const argumentsSchema = runSchema.extend({json: z.boolean().default(false), regressions: z.boolean().default(false)});
-const regressionsSchema = z.array(runSchema.extend({cause: z.string()}));
 
 type SeedRun = z.infer<typeof runSchema>;
 
-const logger = pino({base: undefined}, pino.destination({fd: 2, sync: true}));
-const log = (message: string, fields: Record<string, unknown> = {}): void => {
-	logger.info(fields, message);
-};
-
-/** Runs that failed once, each with its cause. */
-const readRegressions = (): SeedRun[] =>
-	regressionsSchema.parse(parse(readFileSync(new URL('../../fuzz-seeds.yaml', import.meta.url), 'utf8')));
+const log = createProgramLog();
 
 const formatReport = ({seed, seconds, statements, served, peakMemoryMebibytes, findings, findingCounts, firstFoundSeconds}: FuzzReport): string => [
 	`seed ${seed}: ${seconds} s, ${served} of ${statements} statements served, at most ${peakMemoryMebibytes} MiB a host, ${findings.length} findings`,
@@ -54,19 +42,9 @@
 	}
 
 	const {json, regressions, ...single} = parsed.data;
-	const runs = regressions ? readRegressions() : [single];
-	return runProgram({
-		timeLimitMs: runs.reduce((sum, {seconds}) => sum + (seconds * 1000) + overheadMs, 0),
-		log,
-		async run() {
-			let ok = true;
-			for (const run of runs) {
-				const held = await play(run, json);
-				ok &&= held;
-			}
-
-			return ok;
-		},
+	const runs = regressions ? readRegressions('fuzz-seeds.yaml', runSchema) : [single];
+	return playRuns<SeedRun>(runs, {
+		durationMs: ({seconds}) => seconds * 1000, play: async run => play(run, json), log,
 	});
 };
 
--- a/packages/load/src/bin/dogwood-soak.ts
+++ b/packages/load/src/bin/dogwood-soak.ts
@@ -1,20 +1,16 @@
 #!/usr/bin/env node
 /** `dogwood-soak`: the fault soak of the daemon on the users' platform. */
-import {readFileSync} from 'node:fs';
 import {mkdtemp, rm} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {cac} from 'cac';
-import pino from 'pino';
-import {parse} from 'yaml';
 import {z} from 'zod';
 import {runSoak, type Violation} from '../soak/index.js';
-import {exitWithUsageError, parseCommandLine, runProgram} from './run-program.js';
+import {exitWithUsageError, parseCommandLine} from './run-program.js';
+import {createProgramLog, playRuns, readRegressions} from './seed-runs.js';
 
 const maxHosts = 100;
 const maxMinutes = 30;
-/** Start, recovery and checks of one seed, in ms. */
-const overheadMs = 120_000;
 /** Violations in the result line; the history has all of them. */
 const shownViolations = 20;
 
@@ -25,18 +21,10 @@
 	restores: z.coerce.number().int().nonnegative().default(0),
 });
 const argumentsSchema = runSchema.extend({keepLogs: z.boolean().default(false), regressions: z.boolean().default(false)});
-const regressionsSchema = z.array(runSchema.extend({cause: z.string()}));
 
 type SeedRun = z.infer<typeof runSchema>;
 
-const logger = pino({base: undefined}, pino.destination({fd: 2, sync: true}));
-const log = (message: string, fields: Record<string, unknown> = {}): void => {
-	logger.info(fields, message);
-};
-
-/** Runs that failed once, each with its cause. */
-const readRegressions = (): SeedRun[] =>
-	regressionsSchema.parse(parse(readFileSync(new URL('../../soak-seeds.yaml', import.meta.url), 'utf8')));
+const log = createProgramLog();
 
 const countKinds = (violations: readonly Violation[]): Record<string, number> => {
 	const counts: Record<string, number> = {};
@@ -72,19 +60,9 @@
 	}
 
 	const {keepLogs, regressions, ...single} = parsed.data;
-	const runs = regressions ? readRegressions() : [single];
-	return runProgram({
-		timeLimitMs: runs.reduce((sum, {minutes}) => sum + (minutes * 60_000) + overheadMs, 0),
-		log,
-		async run() {
-			let ok = true;
-			for (const run of runs) {
-				const held = await runSeed(run, keepLogs);
-				ok &&= held;
-			}
-
-			return ok;
-		},
+	const runs = regressions ? readRegressions('soak-seeds.yaml', runSchema) : [single];
+	return playRuns<SeedRun>(runs, {
+		durationMs: ({minutes}) => minutes * 60_000, play: async run => runSeed(run, keepLogs), log,
 	});
 };
 
